Watch discovery from the start where news comes to the module unasked

Cause: the settings say registryMode=automatic. On the simulator's wire changes then come unasked, so the module rightly doesn't subscribe. Over sockets nothing comes that is not asked for, and Node.begin left all asking to the module. The tests' settings said "subscribe" throughout, which hid it.

Mend: Node.begin begins the watch itself where the module need not ask. After a failure the module asks again, as it did already (upstreamsChanged).

--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -105,6 +105,10 @@
         upstreams.update(known);
         tell(null, () -> balancer.start(clock.now(), config.settings(), config.seed()));
         tell(null, () -> balancer.upstreamsChanged(clock.now(), Change.CACHED, entries(known)));
+        if (!config.settings().subscribe()) {
+            // Where news comes to a module unasked, it still has to be fetched over the socket.
+            watch(true);
+        }
     }
 
     private static List<Upstream> entries(Roster roster) {
--- a/src/test/java/cranedeal/node/DiscoveryTest.java
+++ b/src/test/java/cranedeal/node/DiscoveryTest.java
@@ -51,6 +51,27 @@
         }
     }
 
+    @Test
+    void newsComesToAModuleThatNeedNotAskForIt() throws Exception {
+        try (stage) {
+            stage.registryMode = "automatic";
+            stage.start(LatencyWeightedBalancer::new);
+            Peer watch = stage.discovery.accept();
+            assertEquals("GET /catalog/members?index=41&wait=20000 HTTP/1.1", watch.read().first());
+            watch.write(Stage.ok(Stage.roster(42, false,
+                    Stage.entry(0, stage.upstreams.get(0).address(), "draining"))));
+            // It has been taken in once the next call is out, and is asked for again after a failure.
+            assertEquals("GET /catalog/members?index=42&wait=20000 HTTP/1.1", watch.read().first());
+            watch.reset();
+            assertEquals("GET /catalog/members?index=42&wait=20000 HTTP/1.1",
+                    stage.discovery.accept().read().first());
+            Peer caller = stage.caller();
+            caller.write(Stage.get("drained", "0.5"));
+            assertEquals(503, caller.read().status());
+            assertEquals(0, stage.upstreams.get(0).waiting());
+        }
+    }
+
     @Test
     void aSilentWatchIsBegunAnewOnceTheServersItNamedTakeNothing() throws Exception {
         try (Stage two = new Stage(2)) {
