Distrust rested connections only while they break, not for every proof-sign

The first tier's balancer opened 348 connections; 177 of them it closed itself while they were well and had rested 0.1 s to 0.8 s, 129 were ended by the server, 5 broke under a request. At other balancers fresh connections broke as well (about 1 in 100 uses, reused ones 4 or 5 in 100), so breaks have causes other than rest. A new connection costs a server 63 to 100 ms of work, which is capacity lost.

Ruled out: servers that announce the end of a connection (no answer carried Connection: close); the module giving connections back (closeIdle follows a failed connect, of which there were 3); the pool's own idle limit (42 s).

Lines at fault: Freshness.trusts gave a request that must not be sent again none but a connection at rest for under 50 ms, break or no break, so each proof-sign closed an idle connection and opened one (UpstreamClient.takeIdle). Freshness.broke halved the trust of all at each stray break.

Mend: Freshness keeps the share of rested connections that broke at once. The rest is held to blame, and trust shortened, only where a quarter do. Requests that must not be sent again use what others use until one breaks, then young connections for as long as the share stays above one in a hundred.

--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -210,6 +210,11 @@
         freshness = new Freshness(IDLE_SHARE * settings.limits().connectionIdle(), millis);
     }
 
+    /** Takes it that a connection broke under a request after such a rest; for tests. */
+    void brokeAtRest(double rested) {
+        freshness.broke(rested);
+    }
+
     /** Has the kernel hold no more than so many bytes unsent; for tests. */
     void sendBuffer(int bytes) {
         bootstrap.option(ChannelOption.SO_SNDBUF, bytes);
@@ -359,6 +364,9 @@
         }
 
         private void answered(FullHttpResponse response) {
+            if (!Double.isNaN(rested)) {
+                freshness.held(rested);
+            }
             int status = response.status().code();
             boolean turnedAway = (status == 503 || status == 504)
                     && "1".equals(response.headers().get("X-Turned-Away"));
