Bound what a late call adds to the refused share by the share at its send

Evidence: strace of the first tier's balancer, lined up second by second. The 503s of 11 s to 15 s came within 1 ms of their request and without an attempt: 44 of 50, 70 of 73, 55 of 59, 54 of 64. The three to ten calls a second that were let through were served, with a median of 0.5 s to 1.1 s: the servers stood nearly idle.

Ruled out: no ready server, or one held back while cold (that answers after a hold, not at once); a shortage of sockets here (134 of 384 descriptors).

Lines at fault: LatencyWeightedBalancer.feelPressure. A call is late 1.25 s after its send at the earliest. When capacity falls, the calls of the whole jam still come in late, one by one, after the refusing has begun, and each lifted the refused share further, up to 0.95, whatever had been refused since they were sent. With 1 in 20 let through, few outcomes are left to lower it.

Mend: an attempt remembers the share at its send, and its sign lifts the level at most 0.3 above that. More is refused only once calls sent under the present share are late too.

--- a/src/main/java/cranedeal/Call.java
+++ b/src/main/java/cranedeal/Call.java
@@ -15,6 +15,8 @@
         final double sentAt;
         /** Own attempts that were in flight there when it was sent. */
         final int behind;
+        /** Share of the work asked for that was refused when it was sent. */
+        final double pressure;
         LoadBalancer.Result result;
         boolean streaming;
         /** Whether it was taken as a sign of overload while it was out. */
@@ -26,6 +28,7 @@
             this.number = call.attempts.size();
             this.sentAt = sentAt;
             this.behind = server.out.size();
+            this.pressure = call.record.leader.pressure;
         }
     }
 
--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -110,6 +110,8 @@
     /** The longest time in ms for which one outcome stands. */
     private static final double LONGEST_GAP = 250;
     private static final double MOST_PRESSURE = 0.95;
+    /** How far a call's sign of overload lifts that share above what was refused when it was sent. */
+    private static final double PRESSURE_STEP = 0.3;
     private static final int PLAN_STEPS = 10;
     /** The longest wait advised to a refused client, of its aim: it should come back in good time. */
     private static final double RETURN_SHARE = 0.5;
@@ -459,7 +461,7 @@
             Attempt attempt = call.attempts.get(number - STRAIN_TIMER);
             if (attempt.result == null && !attempt.streaming) {
                 attempt.strained = true;
-                feelPressure(call.record.leader, false, now);
+                feelPressure(attempt, false, now);
             }
         } else if (!call.streaming && call.attempts.size() == number + 1
                 && call.attempts.get(number).result == null
@@ -496,7 +498,7 @@
         boolean sick = inGoodTime && (outcome.result() == Result.ERROR || outcome.result() == Result.RESET
                 || outcome.result() == Result.CONNECT_FAILED);
         if (settings.tier() == 0 && !attempt.strained && outcome.result() != Result.CANCELLED && !sick) {
-            feelPressure(call.record.leader, outcome.result() == Result.OK && inGoodTime, now);
+            feelPressure(attempt, outcome.result() == Result.OK && inGoodTime, now);
         }
         if (outcome.result() == Result.OK && attempt.number > 0) {
             // It served where another did not: sick servers, not a jam, and worth as many again.
@@ -642,13 +644,22 @@
 
     /**
      * Each sign stands for the time since the one before: the level moves as fast where traffic is thin, or
-     * where so much is refused that few outcomes come, and does not outlast its cause.
+     * where so much is refused that few outcomes come, and does not outlast its cause. A call that is late
+     * was sent some time ago, and can't tell whether what has been refused since is enough: by itself its
+     * sign lifts the level only so far above that of its send, or nearly all would be refused for a jam
+     * that is over by the time its last calls end.
      */
-    private static void feelPressure(ClassRecord leader, boolean fine, double now) {
+    private static void feelPressure(Attempt attempt, boolean fine, double now) {
+        ClassRecord leader = attempt.call.record.leader;
         double seconds = Math.min(LONGEST_GAP, now - leader.feltAt) / 1_000;
         leader.feltAt = now;
-        double changed = leader.pressure + (fine ? -PRESSURE_DOWN : PRESSURE_UP) * seconds;
-        leader.pressure = Math.min(MOST_PRESSURE, Math.max(0, changed));
+        if (fine) {
+            leader.pressure = Math.max(0, leader.pressure - PRESSURE_DOWN * seconds);
+        } else {
+            double most = Math.min(MOST_PRESSURE, attempt.pressure + PRESSURE_STEP);
+            leader.pressure = Math.max(leader.pressure,
+                    Math.min(most, leader.pressure + PRESSURE_UP * seconds));
+        }
     }
 
     private void observeLatency(Attempt attempt, double elapsed) {
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -459,6 +459,24 @@
         assertTrue(bench.refused.size() > refused, bench.refused.size() + " refused");
     }
 
+    @Test
+    void callsOfAJamSayNothingOfWhatWasRefusedSinceTheyWereSent() {
+        Bench bench = new Bench(Sites.plain().repeat(Repeat.AT_MOST_ONCE).lateWorth(0).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        for (int i = 0; i < 50; i++) {
+            bench.request(i, 0);
+            bench.advance(9);
+        }
+        // All of these become overdue, one after another; none was sent while anything was refused.
+        assertTrue(bench.refused.isEmpty());
+        bench.advance(1_000);
+        for (int i = 50; i < 1_050; i++) {
+            bench.request(i, 0);
+        }
+        int refused = bench.refused.size();
+        assertTrue(refused > 200 && refused < 400, refused + " of 1000 refused");
+    }
+
     @Test
     void errorsThatComeAtOnceAreNoSignOfOverload() {
         for (Result result : new Result[] {Result.ERROR, Result.FULL}) {
