Refuse at once what must queue past its time at every server, the cheap first

From 11.0 s to 12.4 s only two servers were ready, one of them just back. Both got 20 to 30 calls each, and nearly every connection opened for them was closed by this side 2.45 s to 2.5 s later with no answer: the calls had used up their aim. The first is overdue only after 1.25 s, so overload is felt when the queue is past saving. Cancelled work runs on, so the servers then work for nobody.

Ruled out: failed connects (the 58 to 90 counted there came up and were written to; they end as the aim passes); cold servers (both took calls).

Lines at fault: LatencyWeightedBalancer.draw sent to any ready server however many calls of ours it had in flight. What is in flight tells, by Little's law (crowding), how long one more will take; it was used for zones alone.

Mend: in the first tier a server whose queue leaves a call no time is not drawn. Where that leaves none the call is refused at once and not held.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -85,6 +85,8 @@
     private static final double EXTRA_SAVED = 3;
     /** Least share of the expected latency that must be left for a send to make sense. */
     private static final double TOO_LATE = 0.25;
+    /** Share of its time for which a call of little worth may queue at a server; the dearest may for all. */
+    private static final double LEAST_QUEUE = 0.5;
     /** Share of the allowed multiple of a cold server's capacity that its send budget uses. */
     private static final double COLD_MARGIN = 0.3;
     /** Ms after which a request that finds no server to go to looks again; well below any aim. */
@@ -139,6 +141,8 @@
     /** When the registry was last heard of or asked, and how long its silence is trusted. */
     private double heardAt;
     private double trust;
+    /** Whether the last draw left out a server for the calls that it has ahead. */
+    private boolean jammed;
     /** Own calls of late for each ready server. */
     private double evidence;
 
@@ -194,7 +198,8 @@
 
     /**
      * Sends the next attempt. A request that never ran is held while it waits for its turn, or for a server
-     * that is ready, open to it and warm enough; it is refused as soon as that cannot end in time.
+     * that is ready, open to it and warm enough; it is refused as soon as that cannot end in time, at once
+     * where the servers it could go to have more calls of ours than they serve in the time it has.
      */
     private void dispatch(Call call, double now) {
         double latest = call.usefulEnd - TOO_LATE * expected(call) - ahead(call);
@@ -204,7 +209,7 @@
         Server server = itsTurn && now < latest ? draw(call, true, now) : null;
         if (server != null) {
             send(call, server, now);
-        } else if (now < patient && call.attempts.isEmpty()) {
+        } else if (now < patient && call.attempts.isEmpty() && !(itsTurn && jammed)) {
             double again = itsTurn ? Math.min(patient, now + LOOK_AGAIN) : patient;
             actions.setTimer(call.id << 8 | HOLD_TIMER, again);
         } else {
@@ -296,13 +301,17 @@
      * tried only when all have been tried and nothing is out.
      */
     private Server draw(Call call, boolean untried, double now) {
+        jammed = false;
+        double longestQueue = longestQueue(call, now);
         double total = 0;
         double tries = 0;
         for (Server server : ready) {
             tries += server.tries;
             boolean usable = mayGoTo(call, server, now) && !(untried && call.tried(server))
                     && (server.coldBudget >= 1 || warmth(server, now) >= 1);
-            server.weight = usable ? 1 / cost(server, call, now) : 0;
+            boolean queued = usable && crowding(server, call) > longestQueue;
+            jammed |= queued;
+            server.weight = usable && !queued ? 1 / cost(server, call, now) : 0;
             total += server.weight;
         }
         evidence = tries / Math.max(1, ready.size());
@@ -362,6 +371,24 @@
         return each * (1 + server.out.size());
     }
 
+    /**
+     * The time that a call may be expected to take behind those in flight at its server. When servers leave,
+     * those that stay would else be sent all calls until the first are overdue, and work on for nobody. Dear
+     * calls find room where cheap ones don't. Only where clients arrive: further down a refusal wastes what
+     * was done above.
+     */
+    private double longestQueue(Call call, double now) {
+        if (settings.tier() > 0) {
+            return Double.MAX_VALUE;
+        }
+        double dearest = 0;
+        for (ClassRecord c : classes) {
+            dearest = Math.max(dearest, worth(c) / work(c));
+        }
+        double part = worth(call.record) / work(call.record) / dearest;
+        return (LEAST_QUEUE + (1 - LEAST_QUEUE) * part) * (call.usefulEnd - now);
+    }
+
     private double crossing() {
         return CROSSING * Math.sqrt(settings.prices().crossZone());
     }
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -462,7 +462,8 @@
     @Test
     void callsOfAJamSayNothingOfWhatWasRefusedSinceTheyWereSent() {
         Bench bench = new Bench(Sites.plain().repeat(Repeat.AT_MOST_ONCE).lateWorth(0).build(), 1);
-        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2), Sites.server(3), Sites.server(4),
+                Sites.server(5), Sites.server(6), Sites.server(7), Sites.server(8));
         for (int i = 0; i < 50; i++) {
             bench.request(i, 0);
             bench.advance(9);
@@ -472,11 +473,39 @@
         bench.advance(1_000);
         for (int i = 50; i < 1_050; i++) {
             bench.request(i, 0);
+            if (bench.isOpen(i)) {
+                bench.finishAfter(bench.lastSend(), Result.OK, 50);
+            }
         }
         int refused = bench.refused.size();
         assertTrue(refused > 200 && refused < 400, refused + " of 1000 refused");
     }
 
+    @Test
+    void aJamThatMustBeLateIsRefusedAtOnceBeforeAnyCallIsOverdue() {
+        for (int tier = 0; tier < 2; tier++) {
+            Bench bench = new Bench(Sites.plain().tier(tier).lateWorth(0).build(), 1);
+            bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+            for (int i = 0; i < 100; i++) {
+                bench.request(i, 1);
+                bench.advance(1);
+            }
+            // A fifth of the aim is expected, with five calls beside each other: 25 would fill all of it.
+            int cheap = bench.sends.size();
+            for (int i = 100; i < 200; i++) {
+                bench.request(i, 0);
+            }
+            int dear = bench.sends.size() - cheap;
+            if (tier == 0) {
+                assertTrue(cheap > 10 && dear > 0 && cheap + dear <= 50, cheap + " and " + dear + " sent");
+                assertEquals(200 - cheap - dear, bench.refused.size());
+            } else {
+                assertEquals(100, cheap);
+                assertEquals(100, dear);
+            }
+        }
+    }
+
     @Test
     void errorsThatComeAtOnceAreNoSignOfOverload() {
         for (Result result : new Result[] {Result.ERROR, Result.FULL}) {
--- a/src/test/java/cranedeal/node/CrowdTest.java
+++ b/src/test/java/cranedeal/node/CrowdTest.java
@@ -52,6 +52,8 @@
         try (Stage stage = new Stage(4)) {
             stage.atHome = 1;
             stage.aim = LONG_AIM;
+            // Where clients arrive, a crowd that must be late is refused and not sent.
+            stage.tier = 1;
             stage.start(LatencyWeightedBalancer::new);
             for (int i = 0; i < stage.upstreams.size(); i++) {
                 hold(stage.upstreams.get(i), i, taken);
@@ -73,6 +75,8 @@
         try (Stage stage = new Stage(6)) {
             stage.atHome = 1;
             stage.aim = LONG_AIM;
+            // Where clients arrive, a crowd that must be late is refused and not sent.
+            stage.tier = 1;
             stage.start(LatencyWeightedBalancer::new);
             for (int i = 1; i < stage.upstreams.size(); i++) {
                 hold(stage.upstreams.get(i), i, taken);
