Let a watch wait 1 to 2 s for news in place of 20 s, drawn anew for each call

Evidence (traced play, all 15 balancers counted): each one's first watch, index=0&wait=20000 at 1.2 s, brings nothing until it is given up at 22.5 s; both first-tier copies hear of v1 to v7 at 23.9 s in one go. Their four servers drained or left between 9.8 s and 16.6 s. In those seconds 56 sends are turned away and all else is refused for want of a server. With each wait 2 s (traced) the news is there in 0 to 3 s, but all 15 copies ask at the same instant, 3.24 s, 6.24 s and so on: hence the draw.

Ruled out: the list itself late (the same news came in time on a watch that was alive); refusals by pressure (none before the servers turned calls away); the module's doubts (in this registry mode it need not ask: the host keeps the watch).

Lines at fault: node.Discovery.WATCH_MS and watchOn: nothing but the end of its wait tells a dead watch from one without news, and the wait was 20 s, the same in every copy.

--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -22,6 +22,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
+import java.util.SplittableRandom;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -36,10 +37,15 @@
 
     private static final int MAX_LIST = 4 * 1024 * 1024;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
-    /** How long a watch may wait for news: each new call costs discovery work. */
-    static final int WATCH_MS = 20_000;
+    /**
+     * The longest and, drawn anew for each call, the shortest a watch waits for news. One that has fallen
+     * silent shows it by nothing but the want of an answer when its wait is over, and until then the list
+     * grows old; an answer without news is cheap. Balancers that start together must not ask in step.
+     */
+    static final int WATCH_MS = 2_000;
+    private static final int SHORTEST_PART = 2;
     /** How long after that an answer may still be under way; what was not told by then counts as told. */
-    private static final int LATE_MS = 1_500;
+    private static final int LATE_MS = 1_000;
     /** The version of a list from a discovery that has told nothing yet. */
     private static final long UNTOLD = -1;
 
@@ -54,6 +60,7 @@
     private final NodeConfig config;
     private final Listener listener;
     private final int watchMillis;
+    private final SplittableRandom random;
     private final Bootstrap bootstrap;
     private InetSocketAddress address;
     private long version;
@@ -68,6 +75,7 @@
         this.config = config;
         this.listener = listener;
         this.watchMillis = watchMillis;
+        random = new SplittableRandom(config.seed());
         address = config.discovery();
         version = config.known().version();
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -121,9 +129,9 @@
     }
 
     private void watchOn() {
+        int wait = random.nextInt(watchMillis / SHORTEST_PART, watchMillis + 1);
         watch = version == UNTOLD ? new Call("", CONNECT_TIMEOUT_MS + LATE_MS, this::watched)
-                : new Call("?index=" + version + "&wait=" + watchMillis, watchMillis + LATE_MS,
-                        this::watched);
+                : new Call("?index=" + version + "&wait=" + wait, wait + LATE_MS, this::watched);
         watch.start(kept);
     }
 
