Take late calls for overload only while most calls of late are late

One of four servers answers nothing from 3 s to 12 s; its signs are all late, those of the other three mostly fine. Copy 1 climbs to 0.95 at 10 s, then sends 1 to 5 calls a second, and a stray late one undoes what four fine ones took off: it stays above 0.5 until 21 s, copy 0 all the while near 0.2. Alone a copy's refusals relieve a jam; here each copy sees little, and refuses for a server that the weights have left already.

Lines at fault: LatencyWeightedBalancer.feelPressure, which took a late call at any server as a sign that every l rises.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -671,13 +671,19 @@
 
     /**
      * Each sign stands for the time since the one before: the level moves as fast where traffic is thin, or
-     * where so much is refused that few outcomes come, and does not outlast its cause. A call that is late
-     * was sent some time ago, and can't tell whether what has been refused since is enough: by itself its
-     * sign lifts the level only so far above that of its send, or nearly all would be refused for a jam
-     * that is over by the time its last calls end.
+     * where so much is refused that few outcomes come, and does not outlast its cause. A late call tells of
+     * overload only while most calls are late: a server that hangs is no reason to refuse what others
+     * serve. A call that is late was sent some time ago, and can't tell whether what has been refused since
+     * is enough: by itself its sign lifts the level only so far above that of its send, or nearly all would
+     * be refused for a jam that is over by the time its last calls end.
      */
-    private static void feelPressure(Attempt attempt, boolean fine, double now) {
+    private void feelPressure(Attempt attempt, boolean fine, double now) {
         ClassRecord leader = attempt.call.record.leader;
+        attempt.server.late = !fine;
+        attempt.server.feltAt = now;
+        if (!fine && !mostAreLate(leader, now)) {
+            return;
+        }
         double seconds = Math.min(LONGEST_GAP, now - leader.feltAt) / 1_000;
         leader.feltAt = now;
         if (fine) {
@@ -689,6 +695,18 @@
         }
     }
 
+    /** Whether the servers open to a class that have most of the calls of late were late at last. */
+    private boolean mostAreLate(ClassRecord c, double now) {
+        double balance = 0;
+        for (Server server : ready) {
+            if (c.type.admits(server.listed) && now - server.feltAt < EVIDENCE_FADE) {
+                double own = server.tries + server.out.size();
+                balance += server.late ? own : -own;
+            }
+        }
+        return balance > 0;
+    }
+
     private void observeLatency(Attempt attempt, double elapsed) {
         Call call = attempt.call;
         Server server = attempt.server;
--- a/src/main/java/cranedeal/Server.java
+++ b/src/main/java/cranedeal/Server.java
@@ -38,6 +38,9 @@
     double crowdedUntil = Double.NEGATIVE_INFINITY;
     /** Calls that it turned away or did not let connect since it last served one. */
     int doubts;
+    /** Whether the last call that told of overload or of its want was late, and when that was. */
+    boolean late;
+    double feltAt = Double.NEGATIVE_INFINITY;
     /** Scratch for one draw. */
     double weight;
     private double fadedAt;
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -506,6 +506,30 @@
         }
     }
 
+    @Test
+    void aServerThatHangsIsNoReasonToRefuseWhatOthersServe() {
+        Bench bench = new Bench(Sites.plain().repeat(Repeat.AT_MOST_ONCE).lateWorth(0).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2), Sites.server(3), Sites.server(4));
+        int hung = 0;
+        for (int i = 0; i < 400;) {
+            int sent = bench.sends.size();
+            for (int end = i + 8; i < end; i++) {
+                bench.request(i, 0);
+            }
+            bench.advance(100);
+            for (Bench.Sent one : List.copyOf(bench.sends.subList(sent, bench.sends.size()))) {
+                // It answers nothing; its calls become overdue while they are out.
+                if (one.upstream() == 1) {
+                    hung++;
+                } else {
+                    bench.finish(one, Result.OK);
+                }
+            }
+        }
+        assertTrue(hung > 3, hung + " at the server that hangs");
+        assertEquals(List.of(), bench.refused);
+    }
+
     @Test
     void errorsThatComeAtOnceAreNoSignOfOverload() {
         for (Result result : new Result[] {Result.ERROR, Result.FULL}) {
