Ask discovery again 0.13 to 0.25 s after a failed call, later the more fail in a row

Two failures in a row after a silent watch come to more than the 6 s after which news counts as told, so a call to a drained server would break a rule.

Ruled out: the agent (it answers the next call at once, with what it has); the watch's own wait (these calls broke off while they were answered).

Lines at fault: LatencyWeightedBalancer.upstreamsChanged, ASK_AGAIN: one wait for a first failure and for a registry that is down. The first is now made good soon, each further one in a row waits twice as long up to 1 s to 2 s, and all of it is drawn, so that copies don't ask in step.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -93,7 +93,11 @@
     private static final double LOOK_AGAIN = 20;
     /** Share of its time for which a request is held that finds no server: the rest is its client's. */
     private static final double HOLD_SHARE = 0.45;
-    /** Least and, with as much again at random, most wait before the registry is asked again, of askEvery. */
+    /**
+     * Least and, with as much again at random, most wait before the registry is asked again, of askEvery:
+     * after one failed call, which leaves the list old, and after several in a row, as each doubles it.
+     */
+    private static final double ASK_SOON = 0.0125;
     private static final double ASK_AGAIN = 0.1;
 
     /** Calls in a row that a listed server turned away or did not let connect: the list may be old. */
@@ -141,6 +145,8 @@
     /** When the registry was last heard of or asked, and how long its silence is trusted. */
     private double heardAt;
     private double trust;
+    /** Calls to the registry that failed in a row. */
+    private int failures;
     /** Whether the last draw left out a server for the calls that it has ahead. */
     private boolean jammed;
     /** Own calls of late for each ready server. */
@@ -747,10 +753,12 @@
             trust = DOUBT_AFTER * settings.rules().askEvery();
         }
         if (change == Change.FAILED) {
-            double wait = ASK_AGAIN * (1 + random.nextDouble());
+            double wait = Math.min(ASK_AGAIN, ASK_SOON * Math.pow(2, failures)) * (1 + random.nextDouble());
+            failures++;
             actions.setTimer(WATCH_TOKEN, now + wait * settings.rules().askEvery());
             return;
         }
+        failures = 0;
         Map<Long, Server> before = new LinkedHashMap<>(servers);
         if (change != Change.DELTA) {
             servers.clear();
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -266,6 +266,43 @@
         assertEquals(2, bench.watches);
     }
 
+    @Test
+    void aFailedCallToTheRegistryIsMadeAgainSoonAndEverMoreRarelyAndNotInStep() {
+        double[][] waits = new double[20][];
+        for (int seed = 0; seed < waits.length; seed++) {
+            Bench bench = new Bench(Sites.plain().subscribe(true).siblings(20).position(seed).build(), seed);
+            bench.list(Change.CACHED, Sites.server(1));
+            waits[seed] = new double[7];
+            for (int i = 0; i < 6; i++) {
+                waits[seed][i] = waitToAskAgain(bench);
+            }
+            bench.list(Change.DELTA, Sites.server(2));
+            waits[seed][6] = waitToAskAgain(bench);
+            // What a watch of 2 s in silence and two failures miss is asked for within 6 s.
+            assertTrue(waits[seed][0] + waits[seed][1] < 1_000, Arrays.toString(waits[seed]));
+            assertTrue(waits[seed][5] >= 1_000 && waits[seed][5] < 2_001, Arrays.toString(waits[seed]));
+            assertTrue(waits[seed][6] < 500, Arrays.toString(waits[seed]));
+        }
+        for (int i = 0; i < 6; i++) {
+            int failure = i;
+            long instants = Arrays.stream(waits).mapToLong(wait -> (long) wait[failure] / 25)
+                    .distinct().count();
+            assertTrue(instants > 3, "copies ask at " + instants + " instants after failure " + i);
+        }
+    }
+
+    /** Fails a call to the registry and returns after how many ms the next one comes. */
+    private static double waitToAskAgain(Bench bench) {
+        int watches = bench.watches;
+        double failedAt = bench.now;
+        bench.list(Change.FAILED);
+        for (int i = 0; i < 20_000 && bench.watches == watches; i++) {
+            bench.advance(1);
+        }
+        assertEquals(watches + 1, bench.watches);
+        return bench.now - failedAt;
+    }
+
     @Test
     void answersInNoTimeAtAllDoNotUpsetTheDraw() {
         Bench bench = new Bench(Sites.plain().build(), 1);
