Let a fine call stand for all the time since the last sign when pressure falls

Evidence (traced play, first-tier copies counted by 2 s): copy 1 is at 0.81 to 0.95 from 12 s on, refuses 33 to 52 of its requests every 2 s and sends 2 to 9; copy 0, with the same list, is below 0.5 throughout and at 0 from 22 s. Copy 1 gets 1 to 3 fine calls in 2 s, each of which takes off 0.055 at most; one late one puts back 0.2. It refuses nearly all, so hears nearly nothing, and learns too late that the jam is over.

Lines at fault: LatencyWeightedBalancer.feelPressure bounded by LONGEST_GAP the time for which a fine call stands, though a sign is to stand for the time since the one before. The bound stays for late calls.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -113,7 +113,7 @@
     /** Change of the share of work refused in a second of signs of overload, and in one of the opposite. */
     private static final double PRESSURE_UP = 0.9;
     private static final double PRESSURE_DOWN = 0.22;
-    /** The longest time in ms for which one outcome stands. */
+    /** The longest time in ms for which one late call stands. */
     private static final double LONGEST_GAP = 250;
     private static final double MOST_PRESSURE = 0.95;
     /** How far a call's sign of overload lifts that share above what was refused when it was sent. */
@@ -695,11 +695,13 @@
 
     /**
      * Each sign stands for the time since the one before: the level moves as fast where traffic is thin, or
-     * where so much is refused that few outcomes come, and does not outlast its cause. A late call tells of
-     * overload only while most calls are late: a server that hangs is no reason to refuse what others
-     * serve. A call that is late was sent some time ago, and can't tell whether what has been refused since
-     * is enough: by itself its sign lifts the level only so far above that of its send, or nearly all would
-     * be refused for a jam that is over by the time its last calls end.
+     * where so much is refused that few outcomes come, and does not outlast its cause. That time is bounded
+     * for late calls alone: whoever refuses nearly all hears too little to come down in short steps, and
+     * would go on long after its siblings have found the tier well. A late call tells of overload only while
+     * most calls are late: a server that hangs is no reason to refuse what others serve. A call that is late
+     * was sent some time ago, and can't tell whether what has been refused since is enough: by itself its
+     * sign lifts the level only so far above that of its send, or nearly all would be refused for a jam that
+     * is over by the time its last calls end.
      */
     private void feelPressure(Attempt attempt, boolean fine, double now) {
         ClassRecord leader = attempt.call.record.leader;
@@ -708,7 +710,7 @@
         if (!fine && !mostAreLate(leader, now)) {
             return;
         }
-        double seconds = Math.min(LONGEST_GAP, now - leader.feltAt) / 1_000;
+        double seconds = Math.min(fine ? Double.MAX_VALUE : LONGEST_GAP, now - leader.feltAt) / 1_000;
         leader.feltAt = now;
         if (fine) {
             leader.pressure = Math.max(0, leader.pressure - PRESSURE_DOWN * seconds);
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -567,6 +567,36 @@
         assertEquals(List.of(), bench.refused);
     }
 
+    @Test
+    void aCopyThatRefusesNearlyAllFindsOutSoonThatTheJamIsOver() {
+        Bench bench = new Bench(Sites.plain().repeat(Repeat.AT_MOST_ONCE).lateWorth(0).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2), Sites.server(3), Sites.server(4));
+        int id = 0;
+        for (int round = 0; round < 10; round++) {
+            int sent = bench.sends.size();
+            for (int i = 0; i < 100; i++) {
+                bench.request(id++, 0);
+            }
+            bench.advance(Sites.AIM);
+            List.copyOf(bench.sends.subList(sent, bench.sends.size()))
+                    .forEach(one -> bench.finish(one, Result.TIMEOUT));
+        }
+        int refused = bench.refused.size();
+        for (int i = 0; i < 200; i++) {
+            if (i == 50) {
+                assertTrue(bench.refused.size() - refused > 10, bench.refused.size() - refused + " refused");
+                refused = bench.refused.size();
+            }
+            bench.request(id, 0);
+            bench.advance(100);
+            if (bench.isOpen(id++)) {
+                bench.finish(bench.lastSend(), Result.OK);
+            }
+        }
+        // From five seconds after the jam on.
+        assertEquals(refused, bench.refused.size());
+    }
+
     @Test
     void aCallAtAServerThatHangsGoesElsewhereInTimeUnlessItMustNotRunTwice() {
         for (Repeat repeat : new Repeat[] {Repeat.IDEMPOTENT, Repeat.AT_MOST_ONCE}) {
