Test with 60 upstreams a list that breaks off and the replacing of six in ten

No change of the program. Seen to fail: with draining servers left among the ready (a call to server 1, which has left), without the cold budget and the warmth in l (up to 5 calls to a server in its first 1.5 s), and with a broken list taken for an empty whole one (FULL in place of FAILED).

--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -303,6 +303,47 @@
         return bench.now - failedAt;
     }
 
+    @Test
+    void sixInTenOfSixtyServersAreReplacedWithNoCallToThoseThatLeftAndNoRushToTheNew() {
+        Bench bench = new Bench(Sites.plain().tier(1).build(), 1);
+        Sites.Server[] list = new Sites.Server[60];
+        for (int i = 0; i < list.length; i++) {
+            list[i] = Sites.server(i + 1);
+        }
+        bench.list(Change.CACHED, list);
+        double[] startedAt = new double[36];
+        int[] early = new int[36];
+        int[] all = new int[36];
+        int id = 0;
+        // One every 200 ms is replaced, then all is as it was for 20 s; 50 calls a second.
+        for (int step = 0; step < 136; step++) {
+            int left = Math.min(step + 1, 36);
+            if (step < 36) {
+                startedAt[step] = bench.now;
+                bench.list(Change.DELTA, Sites.server(step + 1).state(State.DRAINING),
+                        Sites.server(101 + step).startedAt(bench.now));
+            }
+            if (step >= 5 && step < 41) {
+                bench.list(Change.DELTA, Sites.server(step - 4).state(State.REMOVED));
+            }
+            for (int i = 0; i < 10; i++) {
+                bench.request(id++, 0);
+                long to = bench.lastSend().upstream();
+                assertTrue(to > left, "a call to server " + to + ", which has left");
+                if (to > 100) {
+                    int fresh = (int) to - 101;
+                    all[fresh]++;
+                    early[fresh] += bench.now - startedAt[fresh] < 1_500 ? 1 : 0;
+                }
+                bench.advance(20);
+                bench.finish(bench.lastSend(), Result.OK);
+            }
+        }
+        // A sixtieth of 75 calls in 1.5 s is 1.25; cold, it can do a fifth to a third of it.
+        assertTrue(Arrays.stream(early).max().orElseThrow() <= 2, Arrays.toString(early));
+        assertTrue(Arrays.stream(all).sum() > 300, Arrays.toString(all));
+    }
+
     @Test
     void answersInNoTimeAtAllDoNotUpsetTheDraw() {
         Bench bench = new Bench(Sites.plain().build(), 1);
--- a/src/test/java/cranedeal/node/DiscoveryTest.java
+++ b/src/test/java/cranedeal/node/DiscoveryTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -144,6 +145,34 @@
         }
     }
 
+    @Test
+    void aListThatBreaksOffLeavesAllSixtyUpstreamsInUse() throws Exception {
+        try (Stage many = new Stage(60)) {
+            many.script.onStart = () -> many.script.actions.watch(true);
+            many.start();
+            assertEquals(Change.CACHED, Script.next(many.script.changes));
+            Peer watch = many.discovery.accept();
+            watch.read();
+            String fewer = Stage.ok(Stage.roster(42, true, IntStream.range(0, 24)
+                    .mapToObj(i -> Stage.entry(i, many.upstreams.get(i).address(), "up"))
+                    .toArray(String[]::new)));
+            watch.write(fewer.substring(0, fewer.length() / 2));
+            watch.close();
+            assertEquals(Change.FAILED, Script.next(many.script.changes));
+            Peer caller = many.caller();
+            for (int i = 0; i < 60; i++) {
+                int place = i;
+                many.script.onRequest = request -> many.script.sendTo(place, request, 0);
+                caller.write(Stage.get("still" + i, "10"));
+                Peer upstream = many.upstreams.get(i).accept();
+                upstream.read();
+                upstream.write(Stage.ok("well"));
+                assertEquals(200, caller.read().status());
+            }
+            assertTrue(many.script.changes.isEmpty());
+        }
+    }
+
     @Test
     void aDiscoveryThatIsDownIsAFailure() throws Exception {
         try (stage) {
