Take out the try elsewhere for calls at a server that serves nothing

It repeats work in a true jam, when one server seems to hang and the tier is short: what is cancelled runs on.

--- a/src/main/java/cranedeal/Call.java
+++ b/src/main/java/cranedeal/Call.java
@@ -21,8 +21,6 @@
         boolean streaming;
         /** Whether it was taken as a sign of overload while it was out. */
         boolean strained;
-        /** Whether it was given up as its server seemed to hang. */
-        boolean hung;
 
         Attempt(Call call, Server server, double sentAt) {
             this.call = call;
--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -495,7 +495,6 @@
             if (attempt.result == null && !attempt.streaming) {
                 attempt.strained = true;
                 feelPressure(attempt, false, now);
-                leaveIfHung(attempt, now);
             }
         } else if (!call.streaming && call.attempts.size() == number + 1
                 && call.attempts.get(number).result == null
@@ -509,21 +508,6 @@
         }
     }
 
-    /**
-     * A server that has served nothing since a call was sent there, while most calls go well elsewhere, will
-     * hardly serve it: where it may be sent again and another server still has the time, it is.
-     */
-    private void leaveIfHung(Attempt attempt, double now) {
-        Call call = attempt.call;
-        boolean repeatable = call.type.repeat() != Repeat.AT_MOST_ONCE && !call.type.streamed();
-        if (repeatable && settings.limits().cancel() && call.running == 1 && extraCalls >= 1
-                && attempt.server.servedAt < attempt.sentAt && !mostAreLate(call.record.leader, now)
-                && call.usefulEnd - now > expected(call)) {
-            attempt.hung = true;
-            actions.cancel(call.id, attempt.number);
-        }
-    }
-
     // ---- The outcome -------------------------------------------------------------------------------
 
     @Override
@@ -671,16 +655,14 @@
     private void learn(Attempt attempt, Outcome outcome, double now) {
         Server server = attempt.server;
         Result result = outcome.result();
-        // The copy that lost is evidence only when overdue or hung, and then the same as a time-out.
-        boolean tooEarly = result == Result.CANCELLED && !attempt.hung
-                && outcome.elapsed() <= slowAfter(attempt.call);
+        // The copy that lost is evidence only when overdue, and then the same as a time-out.
+        boolean tooEarly = result == Result.CANCELLED && outcome.elapsed() <= slowAfter(attempt.call);
         if (result == Result.NOT_SENT || tooEarly) {
             return;
         }
         server.fade(now, EVIDENCE_FADE, FADE_STEP);
         server.count(attempt.call.record.index, result == Result.OK);
         if (result == Result.OK) {
-            server.servedAt = now;
             if (!attempt.streaming) {
                 observeLatency(attempt, outcome.elapsed());
             }
--- a/src/main/java/cranedeal/Server.java
+++ b/src/main/java/cranedeal/Server.java
@@ -41,8 +41,6 @@
     /** Whether the last call that told of overload or of its want was late, and when that was. */
     boolean late;
     double feltAt = Double.NEGATIVE_INFINITY;
-    /** When it last served a call. */
-    double servedAt = Double.NEGATIVE_INFINITY;
     /** Scratch for one draw. */
     double weight;
     private double fadedAt;
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -638,35 +638,6 @@
         assertEquals(refused, bench.refused.size());
     }
 
-    @Test
-    void aCallAtAServerThatHangsGoesElsewhereInTimeUnlessItMustNotRunTwice() {
-        for (Repeat repeat : new Repeat[] {Repeat.IDEMPOTENT, Repeat.AT_MOST_ONCE}) {
-            Bench bench = new Bench(Sites.plain().repeat(repeat).lateWorth(0).build(), 1);
-            bench.list(Change.CACHED, Sites.server(1), Sites.server(2), Sites.server(3), Sites.server(4));
-            int moved = 0;
-            for (int i = 0; i < 200; i++) {
-                bench.request(i, 0);
-                for (Bench.Sent gone : List.copyOf(bench.cancelled)) {
-                    bench.cancelled.remove(gone);
-                    assertEquals(1, gone.upstream());
-                    bench.finish(gone, Result.CANCELLED);
-                    // Its aim is 1 s and it was out for half of that.
-                    assertEquals(gone.request(), bench.lastSend().request());
-                    assertTrue(bench.now - gone.at() < 600, "left after " + (bench.now - gone.at()));
-                    bench.finishAfter(bench.lastSend(), Result.OK, 100);
-                    moved++;
-                }
-                Bench.Sent sent = bench.sends.stream().filter(s -> bench.isOpen(s.request())
-                        && s.upstream() != 1).findFirst().orElse(null);
-                if (sent != null) {
-                    bench.finishAfter(sent, Result.OK, 100);
-                }
-                bench.advance(50);
-            }
-            assertEquals(repeat == Repeat.IDEMPOTENT, moved > 0, moved + " sent elsewhere");
-        }
-    }
-
     @Test
     void errorsThatComeAtOnceAreNoSignOfOverload() {
         for (Result result : new Result[] {Result.ERROR, Result.FULL}) {
