Where news is pushed, ask discovery again within the grace of a drain after any failed call

What the agent gets at the return counts as told at once (STANDING), so a return that falls into one of the later waits, as in an outage of 8 s, leaves the balancer sending to a draining server for up to 2 s, 0.25 s being allowed. The same holds for news that comes within 0.25 s of a list that was garbled or broke off.

Lines at fault: LatencyWeightedBalancer.upstreamsChanged: one wait for a registry that is asked, where a call is dear, and for news that is pushed, where the agent on the balancer's own machine answers at no cost. There the wait is now a quarter to a half of rules.drainGrace, drawn as before.

The test fails without it ("asked after 257.0", of 500 allowed to drain).

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -99,6 +99,11 @@
      */
     private static final double ASK_SOON = 0.0125;
     private static final double ASK_AGAIN = 0.1;
+    /**
+     * The same, of drainGrace, where news is pushed: what the registry has then counts as told whether or
+     * not a watch is open, so the next one has to bring it, and be acted on, within that grace.
+     */
+    private static final double ASK_PUSHED = 0.25;
 
     /** Calls in a row that a listed server turned away or did not let connect: the list may be old. */
     private static final int DOUBTS = 3;
@@ -755,9 +760,12 @@
             trust = DOUBT_AFTER * settings.rules().askEvery();
         }
         if (change == Change.FAILED) {
-            double wait = Math.min(ASK_AGAIN, ASK_SOON * Math.pow(2, failures)) * (1 + random.nextDouble());
+            double wait = Math.min(ASK_AGAIN, ASK_SOON * Math.pow(2, failures)) * settings.rules().askEvery();
+            if (!settings.subscribe()) {
+                wait = Math.min(wait, ASK_PUSHED * settings.rules().drainGrace());
+            }
             failures++;
-            actions.setTimer(WATCH_TOKEN, now + wait * settings.rules().askEvery());
+            actions.setTimer(WATCH_TOKEN, now + wait * (1 + random.nextDouble()));
             return;
         }
         failures = 0;
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -291,6 +291,23 @@
         }
     }
 
+    @Test
+    void whereNewsIsPushedTheNextCallComesWithinTheGraceOfADrainHoweverManyFailed() {
+        double[] last = new double[20];
+        for (int seed = 0; seed < last.length; seed++) {
+            LoadBalancer.Settings settings = Sites.plain().siblings(20).position(seed).build();
+            Bench bench = new Bench(settings, seed);
+            bench.list(Change.CACHED, Sites.server(1));
+            for (int i = 0; i < 8; i++) {
+                // Half of it is left to ask and to be told.
+                last[seed] = waitToAskAgain(bench);
+                assertTrue(last[seed] <= settings.rules().drainGrace() / 2 + 1, "asked after " + last[seed]);
+            }
+        }
+        long instants = Arrays.stream(last).mapToLong(wait -> (long) wait / 25).distinct().count();
+        assertTrue(instants > 3, "copies ask at " + instants + " instants");
+    }
+
     /** Fails a call to the registry and returns after how many ms the next one comes. */
     private static double waitToAskAgain(Bench bench) {
         int watches = bench.watches;
