Let nobody in before discovery has said how old the known list is, where news is pushed

A new process served from `known` at once.

Evidence (start of n0 in, no drain under way): serving from 0.957 s; the first call, ?index=0&wait=1486, is asked at 1.137 s only, and an agent with nothing newer leaves it waiting, so nothing tells a list that is well from one that is old. What `known` has as ready and the agent as draining was sent to meanwhile, all the time counting as told.

Ruled out: the module (it uses a list as soon as it is told); the time that an answer takes (0.002 s where there is one).

Lines at fault: node.Node.start, which let callers in without waiting for discovery, and node.Discovery.watchOn, whose first call waits for news. The first watch does not wait now (wait=0, answered at once either way), and the node listens once it is answered, or after 0.5 s, as an outage may last long and the front has nobody else to send to. Where lists are asked for, nothing changes: there a list counts as told when it has come.

The new test holds the answer back until a node that does not wait has started: it fails without the wait (no DELTA is there) and with a first watch that waits. copiesThatStartTogetherDoNotWatchInStep leaves out the first call, which has no wait any more and must be 0, and looks at one more instead; newsThatASilentWatchMissed... answers it and judges the one that follows.

--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -65,6 +65,8 @@
     private InetSocketAddress address;
     private long version;
     private boolean watching;
+    /** Whether a watch has been answered yet, so that the list is known to be no older than that. */
+    private boolean heard;
     /** The watch's connection, kept from call to call, and its call that is out. */
     private Channel kept;
     private Call watch;
@@ -128,8 +130,13 @@
         }
     }
 
+    /**
+     * Asks for what is newer. Where news is pushed, what the agent has counts as told from the start on, so
+     * the first watch does not wait: its answer tells how old the known list is, also that it is not.
+     */
     private void watchOn() {
-        int wait = random.nextInt(watchMillis / SHORTEST_PART, watchMillis + 1);
+        int wait = heard || config.settings().subscribe()
+                ? random.nextInt(watchMillis / SHORTEST_PART, watchMillis + 1) : 0;
         watch = version == UNTOLD ? new Call("", CONNECT_TIMEOUT_MS + LATE_MS, this::watched)
                 : new Call("?index=" + version + "&wait=" + wait, wait + LATE_MS, this::watched);
         watch.start(kept);
@@ -138,6 +145,7 @@
     private void watched(Roster roster) {
         kept = roster == null ? null : watch.channel;
         watch = null;
+        heard |= roster != null;
         // Changes say nothing of the rest to somebody who has no list of that discovery.
         tell(roster != null && (version != UNTOLD || roster.full()) ? roster : null);
         // The watch goes on only if its next call comes soon, so it must not wait for the module.
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -26,6 +26,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.Function;
@@ -51,6 +52,8 @@
     private static final double DRAIN_SLACK_MS = 550;
     /** The time that is kept of it to answer what has come, once callers are asked to leave. */
     private static final double LAST_ANSWERS_MS = 1_650;
+    /** How long a start waits for discovery's first answer: it comes at once or, in an outage, much later. */
+    static final long FIRST_NEWS_MS = 500;
 
     private final NodeConfig config;
     private final EventLoop loop;
@@ -61,6 +64,8 @@
     private final Frontend frontend;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
     private final ArrayDeque<Event> events = new ArrayDeque<>();
+    /** Open until discovery has told something. */
+    private final CountDownLatch untold = new CountDownLatch(1);
     private long lastId;
     private boolean deciding;
     /** The request that the module's present call is about, if it is about one. */
@@ -84,16 +89,24 @@
     }
 
     static Node start(NodeConfig config) throws ConfigException, InterruptedException {
-        return start(config, LatencyWeightedBalancer::new);
+        return start(config, LatencyWeightedBalancer::new, FIRST_NEWS_MS);
     }
 
-    /** Starts a balancer with the given module; it serves once this returns. */
-    static Node start(NodeConfig config, Function<LoadBalancer.Actions, LoadBalancer> module)
-            throws ConfigException, InterruptedException {
+    /**
+     * Starts a balancer with the given module; it serves once this returns. Where news is pushed, what the
+     * agent has counts as told by then: the known list may be old, and nobody is let in before that shows or
+     * discovery has been given its time.
+     */
+    static Node start(NodeConfig config, Function<LoadBalancer.Actions, LoadBalancer> module,
+            long firstNewsMillis) throws ConfigException, InterruptedException {
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
                 new DefaultThreadFactory("node", true), NioIoHandler.newFactory()).next();
         Node node = new Node(config, loop, module);
         loop.submit(node::begin).sync();
+        if (!config.settings().subscribe()
+                && !node.untold.await(firstNewsMillis, TimeUnit.MILLISECONDS)) {
+            LOG.warning("discovery says nothing: the known list has to do");
+        }
         node.frontend.bind();
         // The first line loads what logging needs, which later, with no descriptor left, would fail.
         LOG.info("serves as " + config.name());
@@ -213,6 +226,9 @@
             upstreams.update(roster);
         }
         tell(null, () -> balancer.upstreamsChanged(clock.now(), change, entries));
+        if (roster != null) {
+            untold.countDown();
+        }
     }
 
     /** Takes a request in; the node owns a reference to {@code message} from here on. */
--- a/src/test/java/cranedeal/node/DiscoveryTest.java
+++ b/src/test/java/cranedeal/node/DiscoveryTest.java
@@ -15,7 +15,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.IntStream;
@@ -218,14 +220,58 @@
             stage.registryMode = "automatic";
             stage.start(LatencyWeightedBalancer::new);
             Peer silent = stage.discovery.accept();
+            assertEquals(0, assertWatches(41, silent));
+            silent.write(Stage.ok(Stage.roster(41, false)));
             // It counts as told 6 s after it was there to tell: the call that missed it has to be over.
-            assertTrue(assertWatches(41, silent) <= 2_000);
+            int wait = assertWatches(41, silent);
+            assertTrue(wait > 0 && wait <= 2_000);
             Peer watch = stage.discovery.accept();
             assertTrue(silent.ended());
             assertWatches(41, watch);
         }
     }
 
+    @Test
+    void aNewProcessDoesNotServeFromItsKnownListBeforeDiscoveryHasAnswered() throws Exception {
+        CountDownLatch started = new CountDownLatch(1);
+        try (stage) {
+            stage.registryMode = "automatic";
+            stage.script.onStart = () -> { };
+            stage.firstNews = Peer.PATIENCE_MS;
+            Thread agent = new Thread(() -> {
+                try {
+                    Peer watch = stage.discovery.accept();
+                    // Nothing may be newer than the list, which only an answer at once can tell.
+                    assertEquals(0, assertWatches(41, watch));
+                    // A node that does not wait for this has begun to serve by now.
+                    started.await(300, TimeUnit.MILLISECONDS);
+                    watch.write(Stage.ok(Stage.roster(42, false,
+                            Stage.entry(0, stage.upstreams.get(0).address(), "draining"))));
+                } catch (IOException | InterruptedException e) {
+                    throw new AssertionError(e);
+                }
+            });
+            agent.start();
+            stage.start();
+            started.countDown();
+            assertEquals(Change.CACHED, stage.script.changes.poll());
+            assertEquals(Change.DELTA, stage.script.changes.poll());
+            agent.join();
+        }
+    }
+
+    @Test
+    void aNewProcessServesFromItsKnownListWhileDiscoveryIsSilent() throws Exception {
+        try (stage) {
+            stage.registryMode = "automatic";
+            stage.script.onStart = () -> { };
+            stage.firstNews = 1;
+            stage.start();
+            stage.discovery.accept().read();
+            stage.servesStill();
+        }
+    }
+
     @Test
     void copiesThatStartTogetherDoNotWatchInStep() throws Exception {
         List<Integer> first = new ArrayList<>();
@@ -236,7 +282,10 @@
                 copy.registryMode = "automatic";
                 copy.start(LatencyWeightedBalancer::new);
                 Peer watch = copy.discovery.accept();
-                for (int version = 41; version < 49; version++) {
+                // The first is answered at once and waits in neither.
+                assertEquals(0, assertWatches(41, watch));
+                watch.write(Stage.ok(Stage.roster(42, false)));
+                for (int version = 42; version < 50; version++) {
                     waits.add(assertWatches(version, watch));
                     watch.write(Stage.ok(Stage.roster(version + 1, false)));
                 }
--- a/src/test/java/cranedeal/node/Stage.java
+++ b/src/test/java/cranedeal/node/Stage.java
@@ -29,6 +29,8 @@
     int tier;
     /** Whether news of the upstreams comes to the module only once it has asked. */
     String registryMode = "subscribe";
+    /** How long the node waits for discovery's first answer before it lets callers in. */
+    long firstNews = Node.FIRST_NEWS_MS;
     /** What its random numbers begin with. */
     String seed = "8c1f30d27a5be964";
     /** The aim of the class that must never run twice. */
@@ -54,7 +56,7 @@
         Path file = Files.createTempFile("node", ".json");
         try {
             Files.writeString(file, config());
-            node = Node.start(NodeConfig.read(file.toString()), module);
+            node = Node.start(NodeConfig.read(file.toString()), module, firstNews);
         } finally {
             Files.delete(file);
         }
