Don't use a connection to where an upstream was before for what it is sent now

An attempt that waits for its connection keeps the target, and the target takes over each new address and start. Once the upstream has moved, a connection that comes up late, or one whose answer was out, leads to the old address, where another may listen or one that was announced as leaving; the request was written there, and the connection kept as idle for the new address, so that further ones followed.

Evidence: the two new tests, which force that order with an upstream that lets nobody in until it has moved, and one that answers after it has moved.

Ruled out: idle connections (closed with each move, UpstreamClient.update); drains alone (begin() looks at toldOff, which a return under the same id clears).

Lines at fault: node.UpstreamClient.Attempt.begin and Connection.park looked at the target only. A connection remembers what it was opened to, and both ask whether that still is the same address and start; an attempt whose connection leads elsewhere could not connect, which proves that it never ran.

--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -109,6 +109,12 @@
         boolean gone;
         final ArrayDeque<Connection> idle = new ArrayDeque<>();
 
+        /** Whether a connection that was opened to this still leads to the same process. */
+        boolean leadsAlike(Member to) {
+            return member.upstream().startedAt() == to.upstream().startedAt()
+                    && member.address().equals(to.address());
+        }
+
         void closeIdle() {
             // Closing may call back and take the connection out of the queue.
             for (Connection c = idle.pollFirst(); c != null; c = idle.pollFirst()) {
@@ -128,12 +134,11 @@
                 continue;
             }
             Target target = targets.computeIfAbsent(member.upstream().id(), id -> new Target());
-            Member before = target.member;
-            if (before != null && (before.upstream().startedAt() != member.upstream().startedAt()
-                    || !before.address().equals(member.address()))) {
+            boolean moved = target.member != null && !target.leadsAlike(member);
+            target.member = member;
+            if (moved) {
                 target.closeIdle();
             }
-            target.member = member;
             target.gone = false;
             if (member.upstream().state() == State.READY) {
                 target.toldOff = Double.NaN;
@@ -270,7 +275,8 @@
                 // A shortage here says nothing of the upstream.
                 end(Result.NOT_SENT, null);
             } else {
-                ChannelFuture connect = bootstrap.connect(to.member.address());
+                Member member = to.member;
+                ChannelFuture connect = bootstrap.connect(member.address());
                 if (connect.cause() instanceof ChannelException) {
                     // There is no socket, for want of a descriptor.
                     end(Result.NOT_SENT, null);
@@ -282,7 +288,9 @@
                     if (over) {
                         channel.close();
                     } else if (up.isSuccess()) {
-                        begin(channel.pipeline().get(Connection.class));
+                        Connection connection = channel.pipeline().get(Connection.class);
+                        connection.to = member;
+                        begin(connection);
                     } else {
                         end(Result.CONNECT_FAILED, null);
                     }
@@ -298,7 +306,8 @@
             rested = now - connection.idleSince;
             // NaN compares false: a ready upstream takes anything.
             boolean drained = now >= target.toldOff + settings.rules().drainGrace();
-            if (drained || now >= until) {
+            // What came up meanwhile may lead to where the upstream was, and somebody else be there by now.
+            if (drained || now >= until || !target.leadsAlike(connection.to)) {
                 connection.park(target);
                 end(Result.CONNECT_FAILED, null);
                 return;
@@ -469,6 +478,8 @@
         final Decoder decoder = new Decoder(this);
         /** When it was last given back; NaN while it is new. */
         double idleSince = Double.NaN;
+        /** What it was opened to. */
+        private Member to;
         private Attempt carried;
         private Target home;
         /** Whether an answer has come in part, and more since the last check; the checks so far. */
@@ -494,7 +505,7 @@
         void park(Target target) {
             carried = null;
             home = target;
-            if (!Double.isNaN(target.toldOff)) {
+            if (!Double.isNaN(target.toldOff) || !target.leadsAlike(to)) {
                 channel.close();
                 return;
             }
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -559,6 +559,52 @@
         }
     }
 
+    @Test
+    void anAttemptThatWaitsToConnectDoesNotBeginWhereItsUpstreamWasBefore() throws Exception {
+        try (Stage stage = new Stage(); Backlog full = new Backlog()) {
+            stage.connectTimeout = 15_000;
+            stage.script.onStart = () -> stage.script.actions.watch(true);
+            stage.start();
+            Peer watch = tell(stage, Stage.entry(9, full.address(), "up"));
+            stage.caller().write(Stage.spend("1", "x"));
+            takenIn(stage);
+            watch.read();
+            // It drains, goes, and is back under its id elsewhere: the old address may be another's now.
+            watch.write(Stage.ok(Stage.roster(43, false, Stage.entry(9, full.address(), "draining"))));
+            assertEquals(Change.DELTA, Script.next(stage.script.changes));
+            watch.read();
+            watch.write(Stage.ok(Stage.roster(44, false,
+                    Stage.entry(9, stage.upstreams.get(0).address(), "up"))));
+            assertEquals(Change.DELTA, Script.next(stage.script.changes));
+            try (Peer late = full.acceptLast()) {
+                assertTrue(late.ended(), "the request was written to the old address");
+            }
+            assertEquals(Result.CONNECT_FAILED, stage.script.result());
+            stage.servesStill();
+        }
+    }
+
+    @Test
+    void aConnectionToWhereAnUpstreamWasIsNotKeptForItsNextRequest() throws Exception {
+        try (Stage stage = new Stage(2)) {
+            stage.script.onStart = () -> stage.script.actions.watch(true);
+            stage.start();
+            Peer watch = tell(stage, Stage.entry(9, stage.upstreams.get(1).address(), "up"));
+            Peer caller = stage.caller();
+            caller.write(Stage.get("1", "10"));
+            Peer old = stage.upstreams.get(1).accept();
+            old.read();
+            watch.read();
+            watch.write(Stage.ok(Stage.roster(43, false,
+                    Stage.entry(9, stage.upstreams.get(0).address(), "up"))));
+            assertEquals(Change.DELTA, Script.next(stage.script.changes));
+            old.write(Stage.ok("before"));
+            assertEquals("before", caller.read().body());
+            assertTrue(old.ended());
+            stage.servesStill();
+        }
+    }
+
     @Test
     void aProbeBringsTheLoadReport() throws Exception {
         try (Stage stage = new Stage().start()) {
