Have the tests' listener closed for good once its close() has returned

Seen twice with the processors busy: aRefusedConnectionNeverRan had TIMEOUT in place of CONNECT_FAILED, anAttemptOverTheLimitIsNotSent two outcomes in place of five, the first after 10 s. Somebody took the connection and said nothing: a thread that is blocked in accept() is only signalled by close(), and may take a connection that comes before it wakes. close() now waits for it. Not shown by a run that fails each time: that order can't be forced from Java. Ruled out: another process on the port (none listens), a connection that meets itself (it would read its own request, an ERROR).

--- a/src/test/java/cranedeal/node/Listener.java
+++ b/src/test/java/cranedeal/node/Listener.java
@@ -13,6 +13,7 @@
     private final ServerSocket server;
     private final java.net.Socket kept = new java.net.Socket();
     private final LinkedBlockingQueue<Peer> accepted = new LinkedBlockingQueue<>();
+    private final Thread acceptor;
 
     Listener() throws IOException {
         this(0);
@@ -25,7 +26,7 @@
             server.setReceiveBufferSize(receiveBuffer);
         }
         server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 64);
-        Thread thread = new Thread(() -> {
+        acceptor = new Thread(() -> {
             try {
                 while (true) {
                     accepted.add(new Peer(server.accept()));
@@ -34,8 +35,8 @@
                 // The test is over.
             }
         });
-        thread.setDaemon(true);
-        thread.start();
+        acceptor.setDaemon(true);
+        acceptor.start();
     }
 
     String address() {
@@ -56,10 +57,18 @@
         return accepted.size();
     }
 
-    /** Keeps the port, with nobody listening: a connection could else be given it and meet itself there. */
+    /**
+     * Keeps the port, with nobody listening: a connection could else be given it and meet itself there. The
+     * thread that waits in accept() may let one more in after close() has returned, if it is slow to wake.
+     */
     @Override
     public void close() throws IOException {
         server.close();
+        try {
+            acceptor.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         try {
             kept.setReuseAddress(true);
             kept.bind(server.getLocalSocketAddress());
