Don't send on what waits for its connection once nobody waits for its answer

That its attempt is called off is the module's wish, and the module has it only where limits.cancel is true (LatencyWeightedBalancer.over); elsewhere a connection that came up late was still handed the request, up to the connect timeout after its client had left, and so was a second copy after the first one's answer.

Evidence: the new test, with an upstream that lets nobody in and a module that calls nothing off: without the mend the attempt stays out until its connection fails (CONNECT_FAILED), with it NOT_SENT at once, for a reset and for an orderly close.

Ruled out: the end of the client's connection going unnoticed (the module is told of it in both cases).

Lines at fault: node.Exchange.close told the attempts nothing. One that has not begun to write is withdrawn there; NOT_SENT proves that it never ran.

--- a/src/main/java/cranedeal/node/Exchange.java
+++ b/src/main/java/cranedeal/node/Exchange.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.Future;
 
 /** A request from its arrival until it has its one answer and none of its attempts is out. */
@@ -52,11 +53,15 @@
         return true;
     }
 
-    /** Nobody waits for an answer any more. */
+    /**
+     * Nobody waits for an answer any more. What waits for its connection goes no further, whether or not the
+     * module may call off what is out.
+     */
     void close() {
         caller = null;
         if (overdue != null) {
             overdue.cancel(false);
         }
+        attempts.stream().filter(Objects::nonNull).forEach(UpstreamClient.Attempt::withdraw);
     }
 }
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -252,7 +252,7 @@
         private boolean written;
         private boolean over;
         /** When it was written, and how long its connection had rested by then; NaN for a new one. */
-        private double begunAt;
+        private double begunAt = Double.NaN;
         private double rested = Double.NaN;
 
         private Attempt(FullHttpRequest request, double until, Listener listener) {
@@ -352,6 +352,13 @@
             giveUp(written ? Result.TIMEOUT : Result.CONNECT_FAILED);
         }
 
+        /** Nobody waits for the request any more: what still waits for its connection is not sent. */
+        void withdraw() {
+            if (Double.isNaN(begunAt)) {
+                giveUp(Result.NOT_SENT);
+            }
+        }
+
         /** Stops waiting, and lets the upstream know by closing the connection. */
         void cancel() {
             giveUp(Result.CANCELLED);
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -559,6 +559,28 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void anAttemptThatWaitsToConnectDoesNotBeginOnceItsClientHasLeft(boolean reset) throws Exception {
+        try (Stage stage = new Stage(); Backlog full = new Backlog()) {
+            stage.connectTimeout = 15_000;
+            stage.script.onStart = () -> stage.script.actions.watch(true);
+            stage.start();
+            tell(stage, Stage.entry(9, full.address(), "up"));
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("1", "x"));
+            takenIn(stage);
+            if (reset) {
+                caller.reset();
+            } else {
+                caller.close();
+            }
+            // The module, which may not be allowed to, calls nothing off; the connection still hangs.
+            assertEquals(Result.NOT_SENT, stage.script.result());
+            assertEquals(1, Script.next(stage.script.gone));
+        }
+    }
+
     @Test
     void anAttemptThatWaitsToConnectDoesNotBeginWhereItsUpstreamWasBefore() throws Exception {
         try (Stage stage = new Stage(); Backlog full = new Backlog()) {
