Notice that a client has left behind whatever it sent, and before its request is sent on

Three states in which it was not: - behind more than 64 KiB of requests sent ahead, or behind anything that is no request, the connection was read no more while a request was at work (Frontend.Connection.complete and spoil). Its end then shows only once that request is over: a request in the module's queue went on being tried. - in the kernel: of a client that sent its request and left before it was let in, or while the loop was busy, the request was read and sent on, its end only read afterwards (Frontend.Connection.advance). - under an id that comes again: the first connection is looked at, but its end is told to it only later on the loop, so the request was still answered with 409 (Frontend.Connection.handle). Also, the time of a request that waits behind another was counted from its turn and not from its last byte, so it could be sent on, and answered, long after its client had given it up.

Evidence: the new tests.

Ruled out: the module (it drops a request as soon as it is told).

What is sent ahead is now bounded by requests a connection, as before, and by 8 MiB over all connections, and whoever goes over has the same error. Before a request is begun, the connection is read once more.

--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -47,9 +47,11 @@
 final class Frontend {
 
     private static final int BACKLOG = 1_024;
-    /** Requests that a connection may send ahead of their turn, and their bytes before it is read no more. */
+    /** Requests that a connection may send ahead of their turn, and the bytes that all of them may hold. */
     private static final int MAX_AHEAD = 16;
-    private static final int MAX_AHEAD_BYTES = UpstreamClient.MAX_BODY;
+    private static final int MAX_AHEAD_BYTES = 8 * 1024 * 1024;
+    /** How much is read between two sweeps of what a caller sends that is no request, to see it leave. */
+    private static final int MAX_FLAWED_BYTES = 4 * 1024 * 1024;
     private static final long SWEEP_MS = 200;
     /** A new caller's first request, and the rest of one that has begun, must be there after so long. */
     private static final double REQUEST_MS = 2_300;
@@ -74,6 +76,8 @@
     private final Map<String, Connection> open = new HashMap<>();
     private Channel listening;
     private boolean draining;
+    /** Bytes of the requests that wait behind others, over all connections. */
+    private int aheadBytes;
 
     Frontend(EventLoop loop, NodeConfig config, Sockets sockets, ByteBufAllocator memory, Node node) {
         this.loop = loop;
@@ -170,13 +174,15 @@
         }
     }
 
+    /** A whole request and when it came: its time runs while it waits for its turn. */
+    private record Arrived(FullHttpRequest request, double at) { }
+
     /** One caller's connection: one request at a time, those sent ahead wait for their turn. */
     private final class Connection extends ChannelInboundHandlerAdapter implements Exchange.Caller {
 
         private final Channel channel;
         private final Decoder decoder = new Decoder(this);
-        private final ArrayDeque<FullHttpRequest> ahead = new ArrayDeque<>();
-        private int aheadBytes;
+        private final ArrayDeque<Arrived> ahead = new ArrayDeque<>();
         /** The request that is coming in, and its body so far. */
         private HttpRequest head;
         private ByteBuf body;
@@ -194,6 +200,7 @@
         private int unsent;
         private boolean closing;
         private int drained;
+        private int flawed;
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -222,6 +229,10 @@
 
         void sweep(double now) {
             double age = now - since;
+            if (flawed > MAX_FLAWED_BYTES) {
+                flawed = 0;
+                channel.config().setAutoRead(true);
+            }
             if (closing || unsent > 0) {
                 if (age > WRITE_MS) {
                     channel.close();
@@ -309,19 +320,16 @@
 
         private void complete() throws BadRequestException {
             aheadBytes += body.readableBytes();
-            ahead.addLast(new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(), body,
-                    head.headers(), EmptyHttpHeaders.INSTANCE));
+            ahead.addLast(new Arrived(new DefaultFullHttpRequest(head.protocolVersion(), head.method(),
+                    head.uri(), body, head.headers(), EmptyHttpHeaders.INSTANCE), node.now()));
             head = null;
             body = null;
-            if (ahead.size() > MAX_AHEAD) {
+            if (ahead.size() > MAX_AHEAD || current != null && aheadBytes > MAX_AHEAD_BYTES) {
                 // None of them is answered, the one at work neither: it could take its whole time.
                 dropAhead();
                 abandon();
                 throw new BadRequestException("too many requests sent ahead");
             }
-            if (current != null && aheadBytes > MAX_AHEAD_BYTES) {
-                channel.config().setAutoRead(false);
-            }
         }
 
         /** Begins what came only now: of a crowd sent at once, none is to be served. */
@@ -334,9 +342,20 @@
         private void spoil(BadRequestException why) {
             flaw = why;
             dropPart();
-            if (current != null) {
-                channel.config().setAutoRead(false);
+        }
+
+        /**
+         * Whether what comes is looked at no more. It is read all the same while a request is at work, as
+         * nothing else tells that its client has left, but no faster than keeps the loop free for others.
+         */
+        boolean drops(int bytes) {
+            if (flaw != null) {
+                flawed += bytes;
+                if (flawed > MAX_FLAWED_BYTES) {
+                    channel.config().setAutoRead(false);
+                }
             }
+            return flaw != null;
         }
 
         /** Goes on to what is next, as long as nothing is at work. */
@@ -347,34 +366,40 @@
             advancing = true;
             try {
                 while (current == null && !closing && (flaw != null || !ahead.isEmpty())) {
-                    FullHttpRequest next = ahead.pollFirst();
+                    // The client may have left while this waited for its turn, or to be let in at all.
+                    Sockets.readNow(channel);
+                    if (!channel.isOpen()) {
+                        return;
+                    }
+                    Arrived next = ahead.pollFirst();
                     if (next == null) {
                         reject(flaw);
                     } else {
-                        aheadBytes -= next.content().readableBytes();
-                        handle(next);
+                        aheadBytes -= next.request.content().readableBytes();
+                        handle(next.request, next.at);
                     }
                 }
             } finally {
                 advancing = false;
             }
-            if (aheadBytes <= MAX_AHEAD_BYTES && flaw == null && !closing) {
-                channel.config().setAutoRead(true);
-            }
         }
 
-        private void handle(FullHttpRequest request) {
+        private void handle(FullHttpRequest request, double arrivedAt) {
             current = request;
             if (request.uri().equals("/_health") && request.method().equals(HttpMethod.GET)) {
                 write(HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER, 0);
                 return;
             }
             try {
-                Template template = check.read(request, node.now());
+                Template template = check.read(request, arrivedAt);
                 Connection first = open.get(template.txn());
                 if (first != null) {
                     // Its client may have left, and sent the request again here.
                     Sockets.readNow(first.channel);
+                    if (!first.channel.isOpen()) {
+                        // Its end is told later on, too late for the one that is here now.
+                        first.abandon();
+                    }
                 }
                 if (open.containsKey(template.txn())) {
                     throw new BadRequestException(HttpResponseStatus.CONFLICT, "X-Txn is at work");
@@ -468,9 +493,11 @@
         }
 
         private void dropAhead() {
-            ahead.forEach(FullHttpRequest::release);
+            for (Arrived one : ahead) {
+                aheadBytes -= one.request.content().readableBytes();
+                one.request.release();
+            }
             ahead.clear();
-            aheadBytes = 0;
         }
 
         /**
@@ -522,6 +549,10 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object bytes) throws Exception {
+            if (connection.drops(((ByteBuf) bytes).readableBytes())) {
+                ReferenceCountUtil.release(bytes);
+                return;
+            }
             if (!amid) {
                 amid = true;
                 connection.begins();
--- a/src/test/java/cranedeal/node/FrontendTest.java
+++ b/src/test/java/cranedeal/node/FrontendTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -265,6 +267,125 @@
         }
     }
 
+    @Test
+    void aClientThatSendsAgainAndLeavesAtOnceIsNotTakenForAtWork() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer first = stage.caller();
+            first.write(Stage.get("same", "10"));
+            stage.upstreams.get(0).accept().read();
+            Peer second = stage.caller();
+            second.write(HEALTH);
+            second.read();
+            onLoop(stage, () -> {
+                // Both lie there when the node looks, and what came first is read first.
+                second.write(Stage.get("same", "10"));
+                first.close();
+            });
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            upstream.write(Stage.ok("second"));
+            assertEquals("second", second.read().body());
+        }
+    }
+
+    @Test
+    void aRequestWhoseClientLeftBeforeItWasLetInIsNotSentOn() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            onLoop(stage, () -> {
+                try (Peer left = Peer.to(stage.node.address())) {
+                    left.write(Stage.get("left", "10"));
+                }
+            });
+            takenIn(stage);
+            Peer caller = stage.caller();
+            caller.write(Stage.get("stays", "10"));
+            assertEquals("stays", stage.upstreams.get(0).accept().read().header("X-Txn"));
+        }
+    }
+
+    @Test
+    void aRequestWhoseClientLeftBehindItOnAKeptConnectionIsNotSentOn() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer left = stage.caller();
+            left.write(HEALTH);
+            left.read();
+            onLoop(stage, () -> {
+                left.write(Stage.get("left", "10"));
+                left.close();
+            });
+            takenIn(stage);
+            Peer caller = stage.caller();
+            caller.write(Stage.get("stays", "10"));
+            assertEquals("stays", stage.upstreams.get(0).accept().read().header("X-Txn"));
+        }
+    }
+
+    private interface Job {
+        void run() throws java.io.IOException;
+    }
+
+    /** Does something while the node can't: all of it lies in the kernel when it looks again. */
+    private static void onLoop(Stage stage, Job job) throws Exception {
+        stage.node.onLoop((frontend, upstreams) -> {
+            try {
+                job.run();
+                return null;
+            } catch (java.io.IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        });
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1000, false", "1000, true", "5, false", "5, true", "0, false", "0, true"})
+    void aClientIsSeenToLeaveWhateverItSentBehindItsRequest(int kind, boolean reset) throws Exception {
+        try (Stage stage = new Stage().start()) {
+            // The module keeps it in its queue, where it must not stay for its time.
+            AtomicReference<Double> deadline = new AtomicReference<>();
+            stage.script.onRequest = request -> deadline.set(request.deadline());
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("waits", "x").replace("X-Remaining: 10", "X-Remaining: 15"));
+            if (kind == 0) {
+                caller.write("no request at all\r\n\r\n" + "x".repeat(6 * 1024 * 1024));
+            } else {
+                for (int i = 0; i < 5; i++) {
+                    caller.write(Stage.spend("ahead" + i, "b".repeat(60 * kind)));
+                }
+            }
+            takenIn(stage);
+            if (reset) {
+                caller.reset();
+            } else {
+                caller.close();
+            }
+            assertEquals(1, Script.next(stage.script.gone));
+            assertTrue(stage.node.now() < deadline.get());
+        }
+    }
+
+    @Test
+    void theTimeOfARequestRunsWhileItWaitsForItsTurn() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(Stage.get("1", "10") + Stage.get("2", "0.001"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            takenIn(stage);
+            LinkedBlockingQueue<Double> deadlines = new LinkedBlockingQueue<>();
+            stage.script.onRequest = request -> {
+                deadlines.add(request.deadline());
+                stage.script.sendTo(0, request, 0);
+            };
+            double answered = stage.node.now();
+            upstream.write(Stage.ok("first"));
+            assertTrue(Script.next(deadlines) < answered + 1);
+            assertEquals("first", caller.read().body());
+            // It was over before its turn came, and has its answer all the same.
+            assertEquals(502, caller.read().status());
+            assertEquals(0, stage.upstreams.get(0).waiting());
+        }
+    }
+
     @Test
     void aBodyOverTheLimitIsTurnedDown() throws Exception {
         try (Stage stage = new Stage().start()) {
