Repeat a keyed request only if it can connect before its window ends

Found by reading ("a keyed repeat whose window ends while it waits for a connection"). The window was asked about when the repeat was decided on; its bytes go out once its connection is up, up to limits.connectTimeout later, and from the window's end on an upstream takes it for a new request: a second effect.

Evidence: the new test: after 400 ms and 499 ms of a window of 500 ms, with 100 ms to connect, it was sent again without the mend.

Ruled out: the time of the first send (taken before its bytes went out, so early rather than late); kept connections (written at once).

Line at fault: LatencyWeightedBalancer.mayGoTo, which now leaves room for the connect.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -418,7 +418,8 @@
         }
         Upstream from = first.server.listed;
         Upstream to = server.listed;
-        return c.repeat() == Repeat.DEDUPLICATED && now < first.sentAt + c.memory()
+        // It may wait for its connection until that fails, and is a second effect from the window's end on.
+        return c.repeat() == Repeat.DEDUPLICATED && now + limits.connectTimeout() < first.sentAt + c.memory()
                 && (c.group() == Group.ALL || (c.group() == Group.ZONE
                 ? from.zone() == to.zone() : from.cell() == to.cell()));
     }
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -112,6 +112,19 @@
         assertFalse(bench.sends.get(0).upstream() == bench.sends.get(1).upstream());
     }
 
+    @Test
+    void aKeyedRequestIsNotSentAgainWhereItsWindowMayEndBeforeItsConnectionIsUp() {
+        // It may take 100 ms to connect.
+        for (int[] waitAndSends : new int[][] {{395, 2}, {400, 1}, {499, 1}}) {
+            Bench bench = new Bench(Sites.plain().tier(1).repeat(Repeat.DEDUPLICATED).memory(500).build(), 1);
+            bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+            bench.request(1, 0);
+            bench.advance(waitAndSends[0]);
+            bench.finish(bench.lastSend(), Result.RESET);
+            assertEquals(waitAndSends[1], bench.sends.size(), "after " + waitAndSends[0] + " ms");
+        }
+    }
+
     @Test
     void aKeyedRequestStaysInItsGroupAndWindow() {
         Bench bench = new Bench(Sites.plain().tier(1).repeat(Repeat.DEDUPLICATED).group(Group.CELL)
