Take no 200 for an answer that comes before its request is written whole

An upstream begins a request once its last byte has arrived (PROTOCOL), so what comes before answers something else, such as a second answer to the request before on that connection. A 200 was passed on as served; to be served what no upstream made for it counts as a lost request.

Evidence: the new test, with an upstream that answers and reads nothing: OK in place of CONNECT_FAILED without the mend. A turn-away or a 500 ahead of time stays what it was, as upstreams may turn away what they have not read.

Lines at fault: node.UpstreamClient.Connection.channelRead0 only declined to keep such a connection.

--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -574,7 +574,9 @@
                 carried.broke();
                 return;
             }
-            if (carried == null || !response.decoderResult().isSuccess()) {
+            // Nothing is served before a request's last byte is out: that answers another's.
+            if (carried == null || !response.decoderResult().isSuccess()
+                    || !carried.written && response.status().code() == 200) {
                 spoilt();
                 return;
             }
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -132,6 +132,28 @@
         }
     }
 
+    @ParameterizedTest
+    @CsvSource({"200 OK,,CONNECT_FAILED", "503 No,1,FULL", "500 No,,ERROR"})
+    void anAnswerBeforeTheRequestIsOutIsNoneToIt(String status, String turnedAway, Result expected)
+            throws Exception {
+        try (Stage stage = new Stage()) {
+            stage.upstreams.set(0, new Listener(1_024));
+            stage.start();
+            stage.node.onLoop((frontend, upstreams) -> {
+                upstreams.sendBuffer(4_096);
+                return null;
+            });
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("1", "b".repeat(UpstreamClient.MAX_BODY)));
+            // It reads nothing, so that the request can't be out.
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.write("HTTP/1.1 " + status + "\r\nContent-Length: 5\r\n"
+                    + (turnedAway == null ? "" : "X-Turned-Away: " + turnedAway + "\r\n") + "\r\nother");
+            assertEquals(expected, stage.script.result());
+            assertEquals(502, caller.read().status());
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"})
