Ask anew for the whole list where the old discovery's answer comes after a move

A watch is given up by a move (node.Discovery.moveTo), a call for the whole list was not: its answer, up to 2 s late, was taken in as the list, and its version for one of the new discovery, which then would be asked from there on.

Evidence: the new test: without the mend the old answer is told and no call goes to the new address. The module of today asks so only through the interface; a host has to keep its word all the same.

Ruled out by tests that hold without a mend: the same address again, and two moves in a row, back and forth, to lower versions.

--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -166,6 +166,11 @@
         if (call.channel != null) {
             call.channel.close();
         }
+        if (!call.asked.equals(address)) {
+            // What another discovery lists is of no use here, and its versions would be taken for this one's.
+            fetch();
+            return;
+        }
         // Changes are no answer to a call for the whole list.
         tell(roster != null && roster.full() ? roster : null);
     }
@@ -189,6 +194,7 @@
     private final class Call {
 
         private final String query;
+        private final InetSocketAddress asked = address;
         private final Future<?> expiry;
         private Consumer<Roster> end;
         private Channel channel;
--- a/src/test/java/cranedeal/node/DiscoveryTest.java
+++ b/src/test/java/cranedeal/node/DiscoveryTest.java
@@ -349,6 +349,74 @@
         }
     }
 
+    @Test
+    void anAnswerOfTheOldDiscoveryAfterTheMoveIsOfNoUse() throws Exception {
+        Path file = Files.createTempFile("node", ".json");
+        try (stage; Listener second = new Listener()) {
+            stage.script.onStart = () -> {
+                stage.script.actions.watch(true);
+                stage.script.actions.fetch();
+            };
+            started();
+            Peer[] old = {stage.discovery.accept(), stage.discovery.accept()};
+            old[0].read();
+            old[1].read();
+            Files.writeString(file, stage.config().replace(stage.discovery.address(), second.address()));
+            stage.node.reload(NodeConfig.read(file.toString()));
+            Peer watch = second.accept();
+            watch.read();
+            for (Peer call : old) {
+                try {
+                    call.write(Stage.ok(Stage.roster(99, true)));
+                } catch (IOException e) {
+                    // The watch's own connection is closed already.
+                }
+            }
+            // What was asked for is asked for again, where discovery is now.
+            Peer fetch = second.accept();
+            assertEquals("GET /catalog/members HTTP/1.1", fetch.read().first());
+            assertTrue(stage.script.changes.isEmpty());
+            watch.write(Stage.ok(Stage.roster(7, true,
+                    Stage.entry(0, stage.upstreams.get(0).address(), "up"))));
+            assertEquals(Change.FULL, Script.next(stage.script.changes));
+            assertWatches(7, watch);
+            stage.servesStill();
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    @Test
+    void theSameDiscoveryAgainOrBackAndForthLeavesOneWatch() throws Exception {
+        Path first = Files.createTempFile("node", ".json");
+        Path other = Files.createTempFile("node", ".json");
+        try (stage; Listener second = new Listener()) {
+            started();
+            Peer watch = stage.discovery.accept();
+            assertWatches(41, watch);
+            Files.writeString(first, stage.config());
+            Files.writeString(other, stage.config().replace(stage.discovery.address(), second.address()));
+            stage.node.reload(NodeConfig.read(first.toString()));
+            watch.write(Stage.ok(Stage.roster(42, false)));
+            assertEquals(Change.DELTA, Script.next(stage.script.changes));
+            assertWatches(42, watch);
+            // Two in a row: the later one counts, whatever the earlier one has begun.
+            stage.node.reload(NodeConfig.read(other.toString()));
+            stage.node.reload(NodeConfig.read(first.toString()));
+            assertTrue(watch.ended());
+            Peer back = stage.discovery.accept();
+            assertEquals("GET /catalog/members HTTP/1.1", back.read().first());
+            back.write(Stage.ok(Stage.roster(3, true,
+                    Stage.entry(0, stage.upstreams.get(0).address(), "up"))));
+            assertEquals(Change.FULL, Script.next(stage.script.changes));
+            assertWatches(3, back);
+            stage.servesStill();
+        } finally {
+            Files.delete(first);
+            Files.delete(other);
+        }
+    }
+
     @Test
     void aNewDiscoveryThatFailsIsStillAskedForItsWholeList() throws Exception {
         Path file = Files.createTempFile("node", ".json");
