Answer all that has come by the end of a drain, and be ready for SIGTERM before any caller

At the end of its time a drain failed the requests that were at work at that instant. It left, to be reset by the end of the process, - those that waited behind them on their connections: each failure began the next one, which was even sent on; - those that lay unread in the kernel, on kept connections and on late ones; - half requests, whose last byte can come until the process is gone. All of these count as lost. The hook for SIGTERM was also set only after the first callers could be let in; what those had sent was lost to a SIGTERM in between.

Without Frontend.end the second of three requests on a connection gets no answer of a drain, and the unread ones are not refused; without the check in letIn a drain before the first caller breaks off.

Ruled out by tests that hold: SIGTERM twice, and crossing SIGHUP.

Lines at fault: node.Node.drain, node.Main.serve. The last step now reads all connections once more, refuses what was not begun (it never ran) and ends those that are idle or amid a request; start is split into prepare and serve.

--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -76,6 +76,7 @@
     private final Map<String, Connection> open = new HashMap<>();
     private Channel listening;
     private boolean draining;
+    private boolean ending;
     /** Bytes of the requests that wait behind others, over all connections. */
     private int aheadBytes;
 
@@ -123,13 +124,36 @@
 
     /** Closes what is idle and tells whether nothing is left, so that the process may end. */
     boolean endDrain() {
-        Sockets.readNow(listening);
+        letIn();
         for (Connection connection : new ArrayList<>(connections)) {
             connection.closeIfIdle();
         }
         return connections.isEmpty();
     }
 
+    /**
+     * From now on nothing more is begun: whoever is idle or has sent half a request goes, and what waits for
+     * its turn, or comes now, is refused once the request at work has its answer.
+     */
+    void end() {
+        draining = true;
+        ending = true;
+        letIn();
+        for (Connection connection : new ArrayList<>(connections)) {
+            connection.end();
+        }
+    }
+
+    /** Lets in all that wait for it. */
+    private void letIn() {
+        int before = -1;
+        // Several are let in at a time. SIGTERM may come before anybody could be.
+        while (listening != null && before < connections.size()) {
+            before = connections.size();
+            Sockets.readNow(listening);
+        }
+    }
+
     /** Ends what has taken too long by the given time. */
     void sweep(double now) {
         for (Connection connection : new ArrayList<>(connections)) {
@@ -227,6 +251,16 @@
             return !channel.isOpen();
         }
 
+        /** Reads what has come, and leaves nothing open but what is at work or has its answer. */
+        void end() {
+            Sockets.readNow(channel);
+            if (decoder.amid && flaw == null && !closing) {
+                spoil(new BadRequestException(HttpResponseStatus.REQUEST_TIMEOUT, "too late"));
+                advance();
+            }
+            closeIfIdle();
+        }
+
         void sweep(double now) {
             double age = now - since;
             if (flawed > MAX_FLAWED_BYTES) {
@@ -390,6 +424,10 @@
                 write(HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER, 0);
                 return;
             }
+            if (ending) {
+                write(HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER, 0);
+                return;
+            }
             try {
                 Template template = check.read(request, arrivedAt);
                 Connection first = open.get(template.txn());
--- a/src/main/java/cranedeal/node/Main.java
+++ b/src/main/java/cranedeal/node/Main.java
@@ -24,29 +24,40 @@
     }
 
     private static void serve() throws InterruptedException {
-        Node node = null;
         CompletableFuture<Node> started = new CompletableFuture<>();
         reloadAtHangup(started);
         try {
-            node = Node.start(NodeConfig.read(System.getenv("PROXY_CONFIG")));
+            Node node = Node.prepare(NodeConfig.read(System.getenv("PROXY_CONFIG")));
+            serve(node);
+            started.complete(node);
         } catch (ConfigException e) {
             exit("sablehinge: " + e.getMessage(), 1);
+        } catch (IllegalStateException e) {
+            Node.LOG.info("ends before it has begun to serve");
         }
-        drainAtShutdown(node);
-        started.complete(node);
         // The node's own threads are daemons, so that the end of the shutdown hook ends the process.
         new CountDownLatch(1).await();
     }
 
-    /** SIGTERM starts the hook, and the virtual machine lives on until the hook returns. */
-    private static void drainAtShutdown(Node node) {
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+    /**
+     * SIGTERM starts the hook, and the virtual machine lives on until the hook returns. It is there ahead of
+     * the first caller; once the virtual machine is to end, it can't be set or taken back any more.
+     */
+    private static void serve(Node node) throws ConfigException, InterruptedException {
+        Thread drain = new Thread(() -> {
             try {
                 node.drain();
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
-        }, "drain"));
+        }, "drain");
+        Runtime.getRuntime().addShutdownHook(drain);
+        try {
+            node.serve();
+        } catch (ConfigException e) {
+            Runtime.getRuntime().removeShutdownHook(drain);
+            throw e;
+        }
     }
 
     /**
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -88,17 +88,17 @@
         frontend = new Frontend(loop, config, sockets, memory, this);
     }
 
-    static Node start(NodeConfig config) throws ConfigException, InterruptedException {
-        return start(config, LatencyWeightedBalancer::new, FIRST_NEWS_MS);
+    static Node prepare(NodeConfig config) throws InterruptedException {
+        return prepare(config, LatencyWeightedBalancer::new, FIRST_NEWS_MS);
     }
 
     /**
-     * Starts a balancer with the given module; it serves once this returns. Where news is pushed, what the
-     * agent has counts as told by then: the known list may be old, and nobody is let in before that shows or
-     * discovery has been given its time.
+     * Begins a balancer with the given module, which lets nobody in yet. Where news is pushed, what the
+     * agent has counts as told by now: the known list may be old, and nobody is to be let in before that
+     * shows or discovery has been given its time.
      */
-    static Node start(NodeConfig config, Function<LoadBalancer.Actions, LoadBalancer> module,
-            long firstNewsMillis) throws ConfigException, InterruptedException {
+    static Node prepare(NodeConfig config, Function<LoadBalancer.Actions, LoadBalancer> module,
+            long firstNewsMillis) throws InterruptedException {
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
                 new DefaultThreadFactory("node", true), NioIoHandler.newFactory()).next();
         Node node = new Node(config, loop, module);
@@ -107,10 +107,14 @@
                 && !node.untold.await(firstNewsMillis, TimeUnit.MILLISECONDS)) {
             LOG.warning("discovery says nothing: the known list has to do");
         }
-        node.frontend.bind();
+        return node;
+    }
+
+    /** Lets callers in; it serves once this returns. */
+    void serve() throws ConfigException, InterruptedException {
+        frontend.bind();
         // The first line loads what logging needs, which later, with no descriptor left, would fail.
         LOG.info("serves as " + config.name());
-        return node;
     }
 
     private void begin() {
@@ -152,9 +156,18 @@
             Thread.sleep(DRAIN_CHECK_MS);
             done = endDrain();
         }
-        // What SIGKILL found unanswered would be lost; a failure is an answer.
-        loop.submit(() -> List.copyOf(exchanges.values()).stream().filter(Exchange::isOpen)
-                .forEach(exchange -> fail(exchange, HttpResponseStatus.GATEWAY_TIMEOUT))).sync();
+        loop.submit(this::end).sync();
+    }
+
+    /**
+     * Answers whatever has come so far: what is left without an answer by the end of the process would be
+     * lost, and a failure is an answer. What has not been begun is refused, and no connection is left on
+     * which another request could come.
+     */
+    void end() {
+        frontend.end();
+        List.copyOf(exchanges.values()).stream().filter(Exchange::isOpen)
+                .forEach(exchange -> fail(exchange, HttpResponseStatus.GATEWAY_TIMEOUT));
     }
 
     /** Closes callers' connections that are idle; whether none is left. */
--- a/src/test/java/cranedeal/node/DrainTest.java
+++ b/src/test/java/cranedeal/node/DrainTest.java
@@ -86,6 +86,9 @@
             Peer upstream = stage.upstreams.get(0).accept();
             upstream.read();
             process.destroy();
+            // A second one, and a new configuration just then, change nothing.
+            process.destroy();
+            hangUp(process);
             idle.write(Stage.get("reused", "10"));
             Peer second = stage.upstreams.get(0).accept();
             second.read();
@@ -187,6 +190,78 @@
         }
     }
 
+    @Test
+    void allThatHasComeByTheEndOfADrainIsAnswered() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("1", "x") + Stage.get("2", "10") + Stage.get("3", "10"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            Peer half = stage.caller();
+            half.write("GET /look-up/7");
+            stage.node.onLoop((frontend, upstreams) -> {
+                // Nobody could come to an end otherwise while the test puts the end here.
+                stage.node.end();
+                return null;
+            });
+            assertEquals(504, caller.read().status());
+            // They never ran, and may be sent again.
+            assertEquals(503, caller.read().status());
+            Peer.Message last = caller.read();
+            assertEquals(503, last.status());
+            assertEquals("close", last.header("Connection"));
+            assertTrue(caller.ended());
+            assertEquals(408, half.read().status());
+            assertTrue(half.ended());
+            // A connection that crosses the end is told so too.
+            Peer late = stage.caller();
+            late.write(Stage.get("4", "10"));
+            assertEquals(503, late.read().status());
+            assertEquals(0, stage.upstreams.get(0).waiting());
+        }
+    }
+
+    @Test
+    void aRequestThatLiesUnreadInTheKernelAtTheEndOfADrainIsAnswered() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer kept = stage.caller();
+            kept.write(HEALTH);
+            kept.read();
+            Peer[] unread = {kept, null};
+            stage.node.onLoop((frontend, upstreams) -> {
+                try {
+                    // The node reads neither before its end begins.
+                    kept.write(Stage.get("1", "10"));
+                    unread[1] = stage.caller();
+                    unread[1].write(Stage.get("2", "10"));
+                } catch (IOException e) {
+                    throw new java.io.UncheckedIOException(e);
+                }
+                stage.node.end();
+                return null;
+            });
+            for (Peer caller : unread) {
+                Peer.Message answer = caller.read();
+                assertEquals(503, answer.status());
+                assertEquals("close", answer.header("Connection"));
+                assertTrue(caller.ended());
+            }
+        }
+    }
+
+    @Test
+    void aNodeThatLetNobodyInYetCanBeDrained() throws Exception {
+        Path file = Files.createTempFile("node", ".json");
+        try (Stage stage = new Stage()) {
+            Files.writeString(file, stage.config());
+            Node node = Node.prepare(NodeConfig.read(file.toString()));
+            node.drain();
+            node.kill();
+        } finally {
+            Files.delete(file);
+        }
+    }
+
     @Test
     void aDrainDoesNotCloseAConnectionWithARequestInIt() throws Exception {
         try (Stage stage = new Stage().start()) {
--- a/src/test/java/cranedeal/node/Stage.java
+++ b/src/test/java/cranedeal/node/Stage.java
@@ -56,7 +56,8 @@
         Path file = Files.createTempFile("node", ".json");
         try {
             Files.writeString(file, config());
-            node = Node.start(NodeConfig.read(file.toString()), module, firstNews);
+            node = Node.prepare(NodeConfig.read(file.toString()), module, firstNews);
+            node.serve();
         } finally {
             Files.delete(file);
         }
