Let a connection to an upstream rest for 20 ms, so that a second answer finds no request

A connection that is given a request within that time reads it as the answer to the new request: served with what no upstream made for it, which counts as lost.

Ruled out: telling it by its content (nothing in an answer names its request); the look at the socket before it is used again (it is not there yet).

Lines at fault: node.UpstreamClient.takeIdle.

The test: a second answer after the next request is out; without the mend it has gone on the same connection. The tests' stage has no such rest otherwise, as they look at one connection for request after request.

--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -36,6 +36,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Future;
@@ -60,6 +61,11 @@
     /** An answer that has begun must go on after so long at most, and be whole after this many times that. */
     private static final long STALL_MS = 300;
     private static final int MOST_STALLS = 5;
+    /**
+     * How long a connection rests before its next request: a second answer may come some ms after the first,
+     * and nothing in it tells that it isn't the next request's. While none is at work it gives itself away.
+     */
+    private static final double SETTLE_MS = 20;
     /** Most answers of the kind 1xx that may come ahead of one. */
     private static final int MOST_AHEAD = 16;
 
@@ -77,6 +83,7 @@
     private final Bootstrap bootstrap;
     private final Map<Long, Target> targets = new HashMap<>();
     private Freshness freshness;
+    private double settleMillis = SETTLE_MS;
 
     UpstreamClient(EventLoop loop, Clock clock, Settings settings, Sockets sockets, ByteBufAllocator memory) {
         this.loop = loop;
@@ -215,6 +222,11 @@
         freshness = new Freshness(IDLE_SHARE * settings.limits().connectionIdle(), millis);
     }
 
+    /** How long a connection rests before its next request; for tests. */
+    void settleFor(double millis) {
+        settleMillis = millis;
+    }
+
     /** Takes it that a connection broke under a request after such a rest; for tests. */
     void brokeAtRest(double rested) {
         freshness.broke(rested);
@@ -399,19 +411,24 @@
         }
     }
 
+    /** The connection that was given back last of those that may be used again, or null. */
     private Connection takeIdle(Target target, boolean resendable) {
-        for (Connection c = target.idle.pollLast(); c != null; c = target.idle.pollLast()) {
-            if (!freshness.trusts(clock.now() - c.idleSince, resendable)) {
+        double now = clock.now();
+        for (Iterator<Connection> last = target.idle.descendingIterator(); last.hasNext();) {
+            Connection c = last.next();
+            double rested = now - c.idleSince;
+            if (rested < settleMillis) {
+                continue;
+            }
+            if (!freshness.trusts(rested, resendable)) {
                 // The others have rested for longer; one goes for the new one, so that they don't pile up.
-                target.idle.addLast(c);
                 target.idle.pollFirst().channel.close();
                 return null;
             }
+            last.remove();
             // The upstream may have closed it, and what is written to it then would count as run.
             Sockets.readNow(c.channel);
-            if (c.channel.isActive()) {
-                return c;
-            }
+            return c.channel.isActive() ? c : takeIdle(target, resendable);
         }
         return null;
     }
--- a/src/test/java/cranedeal/node/Stage.java
+++ b/src/test/java/cranedeal/node/Stage.java
@@ -31,6 +31,8 @@
     String registryMode = "subscribe";
     /** How long the node waits for discovery's first answer before it lets callers in. */
     long firstNews = Node.FIRST_NEWS_MS;
+    /** How long a connection to an upstream rests between two requests, in ms; none, so that one will do. */
+    double settle;
     /** What its random numbers begin with. */
     String seed = "8c1f30d27a5be964";
     /** The aim of the class that must never run twice. */
@@ -57,6 +59,10 @@
         try {
             Files.writeString(file, config());
             node = Node.prepare(NodeConfig.read(file.toString()), module, firstNews);
+            node.onLoop((frontend, upstreams) -> {
+                upstreams.settleFor(settle);
+                return null;
+            });
             node.serve();
         } finally {
             Files.delete(file);
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -418,6 +418,52 @@
         }
     }
 
+    @Test
+    void aSecondAnswerThatComesLateNeverReachesTheNextRequest() throws Exception {
+        try (Stage stage = new Stage()) {
+            stage.settle = Peer.PATIENCE_MS;
+            stage.start();
+            Peer caller = stage.caller();
+            caller.write(Stage.get("1", "10"));
+            Peer first = stage.upstreams.get(0).accept();
+            first.read();
+            first.write(Stage.ok("one"));
+            assertEquals("one", caller.read().body());
+            caller.write(Stage.get("2", "10"));
+            // What is to come on the first one is not known yet.
+            Peer second = stage.upstreams.get(0).accept();
+            assertEquals("2", second.read().header("X-Txn"));
+            first.write(Stage.ok("one"));
+            assertTrue(first.ended());
+            second.write(Stage.ok("two"));
+            assertEquals("two", caller.read().body());
+        }
+    }
+
+    @Test
+    void aConnectionThatHasSettledIsUsedAheadOfANewOne() throws Exception {
+        try (Stage stage = new Stage()) {
+            stage.settle = 1e9;
+            stage.start();
+            Peer caller = stage.caller();
+            Peer[] both = new Peer[2];
+            for (int i = 0; i < 2; i++) {
+                caller.write(Stage.get("r" + i, "10"));
+                both[i] = stage.upstreams.get(0).accept();
+                both[i].read();
+                both[i].write(Stage.ok("a" + i));
+                assertEquals("a" + i, caller.read().body());
+            }
+            stage.node.onLoop((frontend, upstreams) -> {
+                upstreams.settleFor(0);
+                return null;
+            });
+            caller.write(Stage.get("r2", "10"));
+            assertEquals("r2", both[1].read().header("X-Txn"));
+            assertEquals(0, stage.upstreams.get(0).waiting());
+        }
+    }
+
     @Test
     void whatMustNotBeSentAgainUsesAKeptConnectionWhileNoneBreaks() throws Exception {
         try (Stage stage = new Stage().start()) {
