Test where an answer meets its time-out or a cancel, odd lists, and two nodes in one process

No fault was found at these: the answer and the time-out at one instant and a cancel that crosses an answer (both there when the loop looks: one outcome, one answer), an indented list, a list without end (a failure, the old list holds), and two nodes whose settings give a name the other effect (nothing of one shows in the other). The tests force each order; none needs a mend.

--- a/src/test/java/cranedeal/node/DiscoveryTest.java
+++ b/src/test/java/cranedeal/node/DiscoveryTest.java
@@ -175,6 +175,42 @@
         }
     }
 
+    @Test
+    void anIndentedListIsReadLikeAnyOther() throws Exception {
+        try (stage) {
+            started();
+            Peer watch = stage.discovery.accept();
+            watch.read();
+            String plain = Stage.roster(45, true, Stage.entry(0, stage.upstreams.get(0).address(), "up"));
+            watch.write(Stage.ok(NodeConfig.JSON.writerWithDefaultPrettyPrinter()
+                    .writeValueAsString(NodeConfig.JSON.readTree(plain)).replace("\n", "\r\n\t")));
+            assertEquals(Change.FULL, Script.next(stage.script.changes));
+            assertWatches(45, watch);
+            stage.servesStill();
+        }
+    }
+
+    @Test
+    void aListWithoutEndIsAFailureAndTheOldOneHolds() throws Exception {
+        try (stage) {
+            started();
+            Peer watch = stage.discovery.accept();
+            watch.read();
+            watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            String chunk = "10000\r\n" + " ".repeat(0x10000) + "\r\n";
+            try {
+                while (true) {
+                    watch.write(chunk);
+                }
+            } catch (IOException e) {
+                // It is not listened to any more.
+            }
+            assertEquals(Change.FAILED, Script.next(stage.script.changes));
+            stage.servesStill();
+            assertTrue(stage.script.changes.isEmpty());
+        }
+    }
+
     @Test
     void aDiscoveryThatIsDownIsAFailure() throws Exception {
         try (stage) {
--- a/src/test/java/cranedeal/node/FrontendTest.java
+++ b/src/test/java/cranedeal/node/FrontendTest.java
@@ -363,6 +363,32 @@
         }
     }
 
+    @Test
+    void twoNodesInOneProcessKeepTheirSettingsApart() throws Exception {
+        try (Stage one = new Stage(); Stage other = new Stage()) {
+            // What may be repeated in the one must not run twice in the other, whatever its place and name.
+            other.edit = config -> config.replace("look-up", "\0").replace("credit-spend", "look-up")
+                    .replace("\0", "credit-spend");
+            one.start();
+            other.start();
+            for (Stage stage : new Stage[] {other, one, other}) {
+                Peer getter = stage.caller();
+                getter.write(Stage.get("g", "10"));
+                Peer spender = stage.caller();
+                spender.write(Stage.spend("s", "x"));
+                for (int i = 0; stage == one && i < 2; i++) {
+                    Peer upstream = stage.upstreams.get(0).accept();
+                    upstream.read();
+                    upstream.write(Stage.ok("served"));
+                }
+                for (Peer caller : new Peer[] {getter, spender}) {
+                    assertEquals(stage == one ? 200 : 400, caller.read().status());
+                }
+            }
+            assertEquals(0, other.upstreams.get(0).waiting());
+        }
+    }
+
     @Test
     void theTimeOfARequestRunsWhileItWaitsForItsTurn() throws Exception {
         try (Stage stage = new Stage().start()) {
--- a/src/test/java/cranedeal/node/Stage.java
+++ b/src/test/java/cranedeal/node/Stage.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
+import java.util.function.UnaryOperator;
 
 /** A node on loopback addresses between listeners that the test plays upstreams and discovery on. */
 final class Stage implements AutoCloseable {
@@ -33,6 +34,8 @@
     long firstNews = Node.FIRST_NEWS_MS;
     /** How long a connection to an upstream rests between two requests, in ms; none, so that one will do. */
     double settle;
+    /** What a test changes of the configuration beyond that. */
+    UnaryOperator<String> edit = config -> config;
     /** What its random numbers begin with. */
     String seed = "8c1f30d27a5be964";
     /** The aim of the class that must never run twice. */
@@ -57,7 +60,7 @@
     Stage start(Function<LoadBalancer.Actions, LoadBalancer> module) throws Exception {
         Path file = Files.createTempFile("node", ".json");
         try {
-            Files.writeString(file, config());
+            Files.writeString(file, edit.apply(config()));
             node = Node.prepare(NodeConfig.read(file.toString()), module, firstNews);
             node.onLoop((frontend, upstreams) -> {
                 upstreams.settleFor(settle);
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -402,6 +402,60 @@
         }
     }
 
+    @Test
+    void anAnswerAndItsTimeoutAtOneInstantAreOneOutcome() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            stage.script.onRequest = request -> stage.script.sendTo(0, request, 500);
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("1", "x"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            double sent = stage.node.now();
+            stage.node.onLoop((frontend, upstreams) -> {
+                try {
+                    upstream.write(Stage.ok("served"));
+                } catch (IOException e) {
+                    throw new java.io.UncheckedIOException(e);
+                }
+                // Both are there when the node looks again.
+                while (stage.node.now() < sent + 500) {
+                    Thread.onSpinWait();
+                }
+                return null;
+            });
+            Result result = stage.script.result();
+            assertTrue(result == Result.OK || result == Result.TIMEOUT, "ended as " + result);
+            assertEquals(result == Result.OK ? 200 : 502, caller.read().status());
+            takenIn(stage);
+            assertTrue(stage.script.outcomes.isEmpty());
+        }
+    }
+
+    @Test
+    void aCancelThatCrossesAnAnswerEndsTheAttemptOnce() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("1", "x"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            stage.node.onLoop((frontend, upstreams) -> {
+                try {
+                    upstream.write(Stage.ok("crosses"));
+                } catch (IOException e) {
+                    throw new java.io.UncheckedIOException(e);
+                }
+                stage.script.actions.cancel(1, 0);
+                return null;
+            });
+            assertEquals(Result.CANCELLED, stage.script.result());
+            assertEquals(502, caller.read().status());
+            assertTrue(upstream.ended());
+            stage.servesStill();
+            assertEquals(Result.OK, stage.script.result());
+            assertTrue(stage.script.outcomes.isEmpty());
+        }
+    }
+
     @Test
     void aConnectionIsUsedAgainWhileItIsAlive() throws Exception {
         try (Stage stage = new Stage().start()) {
