Send what waited for its connection only in the first half of a drain's grace

A request that waits for its connection was written up to the whole grace after the news had come: told at 0 s, heard of at 0.125 s, written at 0.37 s, 0.25 s (and 50 ms) allowed.

Evidence: the test now has a second case, a connection that comes up 1 s after the news with a grace of 1.8 s: written without the mend.

Ruled out: picks (the module draws no server that drains, at once); kept connections (closed with the news).

Line at fault: node.UpstreamClient.Attempt.begin, which gave the request the whole grace. Half for the news and half for the connection make up the whole.

--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -56,6 +56,11 @@
     /** The headers of a request that go on with it; the rest is a caller's own affair or worse. */
     private static final List<String> PASSED_ON = List.of("X-Txn", "Idempotency-Key", "X-Lane", "X-Org",
             "Cookie", "X-Resent", "X-Estimate", "X-Labels");
+    /**
+     * The part of a drain's grace in which what has waited for its connection is still sent: the news counts
+     * as told from when discovery had it, and finds the next call to it up to half of the grace later.
+     */
+    private static final double GRACE_SHARE = 0.5;
     /** How each answer begins. */
     private static final byte[] BEGINNING = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
     /** An answer that has begun must go on after so long at most, and be whole after this many times that. */
@@ -317,7 +322,7 @@
             begunAt = now;
             rested = now - connection.idleSince;
             // NaN compares false: a ready upstream takes anything.
-            boolean drained = now >= target.toldOff + settings.rules().drainGrace();
+            boolean drained = now >= target.toldOff + GRACE_SHARE * settings.rules().drainGrace();
             // What came up meanwhile may lead to where the upstream was, and somebody else be there by now.
             if (drained || now >= until || !target.leadsAlike(connection.to)) {
                 connection.park(target);
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -655,11 +655,13 @@
         }
     }
 
-    @Test
-    void anAttemptThatWaitsToConnectDoesNotBeginAfterTheGraceOfADrain() throws Exception {
+    @ParameterizedTest
+    @ValueSource(ints = {50, 1_800})
+    void anAttemptThatWaitsToConnectDoesNotBeginAfterTheGraceOfADrain(int grace) throws Exception {
         try (Stage stage = new Stage(); Backlog full = new Backlog()) {
             stage.connectTimeout = 15_000;
-            stage.drainGrace = 50;
+            // Half of it is left to the news, which may have been there for so long.
+            stage.drainGrace = grace;
             stage.script.onStart = () -> stage.script.actions.watch(true);
             stage.start();
             Peer watch = tell(stage, Stage.entry(9, full.address(), "up"));
