--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -402,6 +402,60 @@
         }
     }
 
+    @Test
+    void anAnswerAndItsTimeoutAtOneInstantAreOneOutcome() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            stage.script.onRequest = request -> stage.script.sendTo(0, request, 500);
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("1", "x"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            double sent = stage.node.now();
+            stage.node.onLoop((frontend, upstreams) -> {
+                try {
+                    upstream.write(Stage.ok("served"));
+                } catch (IOException e) {
+                    throw new java.io.UncheckedIOException(e);
+                }
+                // Both are there when the node looks again.
+                while (stage.node.now() < sent + 500) {
+                    Thread.onSpinWait();
+                }
+                return null;
+            });
+            Result result = stage.script.result();
+            assertTrue(result == Result.OK || result == Result.TIMEOUT, "ended as " + result);
+            assertEquals(result == Result.OK ? 200 : 502, caller.read().status());
+            takenIn(stage);
+            assertTrue(stage.script.outcomes.isEmpty());
+        }
+    }
+
+    @Test
+    void aCancelThatCrossesAnAnswerEndsTheAttemptOnce() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("1", "x"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            stage.node.onLoop((frontend, upstreams) -> {
+                try {
+                    upstream.write(Stage.ok("crosses"));
+                } catch (IOException e) {
+                    throw new java.io.UncheckedIOException(e);
+                }
+                stage.script.actions.cancel(1, 0);
+                return null;
+            });
+            assertEquals(Result.CANCELLED, stage.script.result());
+            assertEquals(502, caller.read().status());
+            assertTrue(upstream.ended());
+            stage.servesStill();
+            assertEquals(Result.OK, stage.script.result());
+            assertTrue(stage.script.outcomes.isEmpty());
+        }
+    }
+
     @Test
     void aConnectionIsUsedAgainWhileItIsAlive() throws Exception {
         try (Stage stage = new Stage().start()) {
@@ -418,6 +472,52 @@
         }
     }
 
+    @Test
+    void aSecondAnswerThatComesLateNeverReachesTheNextRequest() throws Exception {
+        try (Stage stage = new Stage()) {
+            stage.settle = Peer.PATIENCE_MS;
+            stage.start();
+            Peer caller = stage.caller();
+            caller.write(Stage.get("1", "10"));
+            Peer first = stage.upstreams.get(0).accept();
+            first.read();
+            first.write(Stage.ok("one"));
+            assertEquals("one", caller.read().body());
+            caller.write(Stage.get("2", "10"));
+            // What is to come on the first one is not known yet.
+            Peer second = stage.upstreams.get(0).accept();
+            assertEquals("2", second.read().header("X-Txn"));
+            first.write(Stage.ok("one"));
+            assertTrue(first.ended());
+            second.write(Stage.ok("two"));
+            assertEquals("two", caller.read().body());
+        }
+    }
+
+    @Test
+    void aConnectionThatHasSettledIsUsedAheadOfANewOne() throws Exception {
+        try (Stage stage = new Stage()) {
+            stage.settle = 1e9;
+            stage.start();
+            Peer caller = stage.caller();
+            Peer[] both = new Peer[2];
+            for (int i = 0; i < 2; i++) {
+                caller.write(Stage.get("r" + i, "10"));
+                both[i] = stage.upstreams.get(0).accept();
+                both[i].read();
+                both[i].write(Stage.ok("a" + i));
+                assertEquals("a" + i, caller.read().body());
+            }
+            stage.node.onLoop((frontend, upstreams) -> {
+                upstreams.settleFor(0);
+                return null;
+            });
+            caller.write(Stage.get("r2", "10"));
+            assertEquals("r2", both[1].read().header("X-Txn"));
+            assertEquals(0, stage.upstreams.get(0).waiting());
+        }
+    }
+
     @Test
     void whatMustNotBeSentAgainUsesAKeptConnectionWhileNoneBreaks() throws Exception {
         try (Stage stage = new Stage().start()) {
@@ -555,11 +655,13 @@
         }
     }
 
-    @Test
-    void anAttemptThatWaitsToConnectDoesNotBeginAfterTheGraceOfADrain() throws Exception {
+    @ParameterizedTest
+    @ValueSource(ints = {50, 1_800})
+    void anAttemptThatWaitsToConnectDoesNotBeginAfterTheGraceOfADrain(int grace) throws Exception {
         try (Stage stage = new Stage(); Backlog full = new Backlog()) {
             stage.connectTimeout = 15_000;
-            stage.drainGrace = 50;
+            // Half of it is left to the news, which may have been there for so long.
+            stage.drainGrace = grace;
             stage.script.onStart = () -> stage.script.actions.watch(true);
             stage.start();
             Peer watch = tell(stage, Stage.entry(9, full.address(), "up"));
