--- a/src/test/java/cranedeal/node/DrainTest.java
+++ b/src/test/java/cranedeal/node/DrainTest.java
@@ -148,6 +148,39 @@
         }
     }
 
+    @Test
+    void sighupIsHeardAlsoWhereWhoeverStartsTheProgramIgnoresIt() throws Exception {
+        String run = Files.readAllLines(Path.of("deploy", "balancer.toml")).stream()
+                .filter(line -> line.startsWith("run = \"")).findFirst().orElseThrow();
+        // What comes ahead of the virtual machine, which leaves a signal ignored that was so at its start.
+        String ahead = run.substring(run.indexOf('"') + 1, run.indexOf("java "));
+        Path file = Files.createTempFile("node", ".json");
+        int port;
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        Process process = null;
+        try (Stage stage = new Stage(); Listener second = new Listener()) {
+            String config = stage.config().replace("127.0.0.1:0", "127.0.0.1:" + port);
+            Files.writeString(file, config);
+            ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "trap '' HUP; " + ahead + "\""
+                    + Path.of(System.getProperty("java.home"), "bin", "java") + "\" -cp \"$CLASSES\" "
+                    + Main.class.getName() + " serve");
+            builder.environment().put("CLASSES", System.getProperty("java.class.path"));
+            builder.environment().put("PROXY_CONFIG", file.toString());
+            process = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+            Peer.toServing(new InetSocketAddress("127.0.0.1", port), process);
+            Files.writeString(file, config.replace(stage.discovery.address(), second.address()));
+            hangUp(process);
+            assertEquals("GET /catalog/members HTTP/1.1", second.accept().read().first());
+        } finally {
+            if (process != null) {
+                process.destroyForcibly();
+            }
+            Files.delete(file);
+        }
+    }
+
     private static void hangUp(Process process) throws Exception {
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
     }
