--- a/src/test/java/cranedeal/node/DrainTest.java
+++ b/src/test/java/cranedeal/node/DrainTest.java
@@ -168,7 +168,8 @@
                     + Main.class.getName() + " serve");
             builder.environment().put("CLASSES", System.getProperty("java.class.path"));
             builder.environment().put("PROXY_CONFIG", file.toString());
-            process = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+            process = builder.redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
             Peer.toServing(new InetSocketAddress("127.0.0.1", port), process);
             Files.writeString(file, config.replace(stage.discovery.address(), second.address()));
             hangUp(process);
