Dial a connection once more where it is late, and keep whichever comes second

With each connect in the log, 488 of some 790 were up within 20 ms, the others spread evenly up to the connect time-out of 250 ms, and 50 had failed there. An aim of 690 ms holds three tiers, each with connections of its own, and upstreams that close theirs right after an answer. Cause: UpstreamClient.Attempt.start dials once and waits for that one connection until its time-out, then gives it up and tells the module of a server that could not be reached. Ruled out: the upstream (others of its connections come up in 2 ms meanwhile); reuse (its upstreams end connections right after an answer); a longer time-out, since the module reckons with the one of the settings. Change: after four times the usual time to come up, 10 ms at least and a quarter of the time-out at most, it dials once more, if the upstream still wants work and there is a descriptor. The first to come up has the request; the other is kept idle for the next one. The attempt still ends with its first connection's time-out, and with it both are closed. Nothing is sent twice: only one connection is ever written to. The test has both hang in a full backlog; without the change it waits for the second in vain.

--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -35,6 +35,7 @@
 import java.math.BigDecimal;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -71,6 +72,15 @@
      * and nothing in it tells that it isn't the next request's. While none is at work it gives itself away.
      */
     private static final double SETTLE_MS = 20;
+    /**
+     * A connection is dialled once more after so many times the usual time to come up, within these bounds,
+     * the upper one a part of the connect time-out: one lost or late handshake would else cost all of it.
+     */
+    private static final double DIAL_AGAIN = 4;
+    private static final double LEAST_DIAL_MS = 10;
+    private static final double MOST_DIAL_SHARE = 0.25;
+    /** Step of the estimate of that usual time, a median, relative to its value. */
+    private static final double DIAL_STEP = 0.1;
     /** Most answers of the kind 1xx that may come ahead of one. */
     private static final int MOST_AHEAD = 16;
 
@@ -89,6 +99,10 @@
     private final Map<Long, Target> targets = new HashMap<>();
     private Freshness freshness;
     private double settleMillis = SETTLE_MS;
+    /** Ms in which half of the connections come up. */
+    private double usualDial;
+    /** Connections that are not up yet. */
+    private int dialling;
 
     UpstreamClient(EventLoop loop, Clock clock, Settings settings, Sockets sockets, ByteBufAllocator memory) {
         this.loop = loop;
@@ -96,6 +110,7 @@
         this.settings = settings;
         this.sockets = sockets;
         trustYoung(Freshness.YOUNG_MS);
+        usualDial = settings.limits().connectTimeout() * MOST_DIAL_SHARE / DIAL_AGAIN;
         int connectTimeout = (int) Math.max(1, settings.limits().connectTimeout());
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, memory).option(ChannelOption.TCP_NODELAY, true)
@@ -222,6 +237,11 @@
         return targets.size();
     }
 
+    /** How many connections it waits for. */
+    int dialling() {
+        return dialling;
+    }
+
     /** For how long a connection that rests is young; for tests. */
     void trustYoung(double millis) {
         freshness = new Freshness(IDLE_SHARE * settings.limits().connectionIdle(), millis);
@@ -232,6 +252,21 @@
         settleMillis = millis;
     }
 
+    /** Takes it that connections come up in so many ms; for tests. */
+    void usualDial(double millis) {
+        usualDial = millis;
+    }
+
+    private void cameUp(double millis) {
+        usualDial *= 1 + (millis > usualDial ? DIAL_STEP : -DIAL_STEP);
+    }
+
+    /** How long to wait for a connection before it is dialled once more. */
+    private double dialAgainAfter() {
+        double most = settings.limits().connectTimeout() * MOST_DIAL_SHARE;
+        return Math.min(most, Math.max(LEAST_DIAL_MS, DIAL_AGAIN * usualDial));
+    }
+
     /** Takes it that a connection broke under a request after such a rest; for tests. */
     void brokeAtRest(double rested) {
         freshness.broke(rested);
@@ -266,6 +301,9 @@
         private final Future<?> expiry;
         private Target target;
         private Channel channel;
+        /** Connections that it waits for, the first one first, and when it opens another. */
+        private final List<Channel> dialled = new ArrayList<>(2);
+        private Future<?> dialAgain;
         private boolean written;
         private boolean over;
         /** When it was written, and how long its connection had rested by then; NaN for a new one. */
@@ -292,27 +330,54 @@
                 // A shortage here says nothing of the upstream.
                 end(Result.NOT_SENT, null);
             } else {
-                Member member = to.member;
-                ChannelFuture connect = bootstrap.connect(member.address());
-                if (connect.cause() instanceof ChannelException) {
+                if (!dial(to.member)) {
                     // There is no socket, for want of a descriptor.
                     end(Result.NOT_SENT, null);
                     return;
                 }
-                channel = connect.channel();
-                sockets.count(channel);
-                connect.addListener(up -> {
-                    if (over) {
-                        channel.close();
-                    } else if (up.isSuccess()) {
-                        Connection connection = channel.pipeline().get(Connection.class);
-                        connection.to = member;
-                        begin(connection);
+                long wait = (long) (dialAgainAfter() * 1_000);
+                dialAgain = loop.schedule(this::dialAgain, wait, TimeUnit.MICROSECONDS);
+            }
+        }
+
+        /** The first connection is late. Another may be up sooner; whichever comes second is kept idle. */
+        private void dialAgain() {
+            boolean waits = !over && Double.isNaN(begunAt) && Double.isNaN(target.toldOff);
+            if (waits && sockets.roomForUpstream(clock.now())) {
+                dial(target.member);
+            }
+        }
+
+        /** Opens a connection for this attempt; false if there is no socket for it. */
+        private boolean dial(Member member) {
+            ChannelFuture connect = bootstrap.connect(member.address());
+            if (connect.cause() instanceof ChannelException) {
+                return false;
+            }
+            Channel opened = connect.channel();
+            sockets.count(opened);
+            dialled.add(opened);
+            dialling++;
+            double dialledAt = clock.now();
+            connect.addListener(up -> {
+                dialling--;
+                if (up.isSuccess()) {
+                    cameUp(clock.now() - dialledAt);
+                    Connection connection = opened.pipeline().get(Connection.class);
+                    connection.to = member;
+                    if (!Double.isNaN(begunAt)) {
+                        connection.park(target);
+                    } else if (over) {
+                        opened.close();
                     } else {
-                        end(Result.CONNECT_FAILED, null);
+                        begin(connection);
                     }
-                });
-            }
+                } else if (Double.isNaN(begunAt) && opened == dialled.get(0)) {
+                    // Whoever chose the server reckons with no more than the time-out of one connection.
+                    giveUp(Result.CONNECT_FAILED);
+                }
+            });
+            return true;
         }
 
         /** Writes the request, unless it has waited too long for its connection. */
@@ -391,6 +456,8 @@
                 expiry.cancel(false);
                 if (channel != null) {
                     channel.close();
+                } else {
+                    List.copyOf(dialled).forEach(Channel::close);
                 }
                 listener.finished(result, null);
             }
--- a/src/test/java/cranedeal/node/Peer.java
+++ b/src/test/java/cranedeal/node/Peer.java
@@ -79,6 +79,11 @@
         return new Message(first, headers, new String(body, StandardCharsets.ISO_8859_1));
     }
 
+    /** How many bytes have come that were not read yet. */
+    int unread() throws IOException {
+        return in.available();
+    }
+
     /** Whether the other side has ended the connection; waits for that. */
     boolean ended() {
         try {
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -655,6 +655,50 @@
         }
     }
 
+    @Test
+    void aConnectionThatComesUpLateIsDialledOnceMoreAndTheSecondIsKept() throws Exception {
+        try (Stage stage = new Stage(); Backlog full = new Backlog()) {
+            stage.connectTimeout = 15_000;
+            stage.script.onStart = () -> stage.script.actions.watch(true);
+            stage.start();
+            // As after many that came up in no time; the first is dialled once more after 10 ms.
+            stage.node.onLoop((frontend, upstreams) -> {
+                upstreams.usualDial(0.1);
+                upstreams.settleFor(0);
+                return null;
+            });
+            tell(stage, Stage.entry(9, full.address(), "up"));
+            Peer caller = stage.caller();
+            caller.write(Stage.get("1", "9"));
+            // Both hang until the backlog has room.
+            while (stage.node.onLoop((frontend, upstreams) -> upstreams.dialling()) < 2) {
+                Thread.onSpinWait();
+            }
+            try (Peer one = full.acceptLast(); Peer other = full.acceptLast()) {
+                // Whichever is up first has the request.
+                while (one.unread() == 0 && other.unread() == 0) {
+                    Thread.onSpinWait();
+                }
+                Peer carries = one.unread() > 0 ? one : other;
+                Peer second = carries == one ? other : one;
+                carries.read();
+                assertEquals(0, second.unread());
+                carries.write(Stage.ok("served"));
+                assertEquals(200, caller.read().status());
+                // Two more at once find a connection each.
+                Peer third = stage.caller();
+                caller.write(Stage.get("2", "9"));
+                third.write(Stage.get("3", "9"));
+                one.read();
+                other.read();
+                one.write(Stage.ok("served"));
+                other.write(Stage.ok("served"));
+                assertEquals(200, caller.read().status());
+                assertEquals(200, third.read().status());
+            }
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {50, 1_800})
     void anAttemptThatWaitsToConnectDoesNotBeginAfterTheGraceOfADrain(int grace) throws Exception {
