Refuse no more than the calls sent unrefused show that it can pay

Evidence: with each decision in the log, the three front balancers took in 971 requests and refused 794 of them at once, unsent, at a pressure that stood at 0.95 from the third second on. Nothing queued: a call takes 200 to 660 ms there, a third of its connections come up late at each of three tiers, and the aim is 690 ms, so that more than half of the calls pass half of their aim, the sign of overload, whatever is refused. Each such sign lifts the level four times as fast as a good one lowers it. At fault: feelPressure and planShedding in LatencyWeightedBalancer, which never ask whether refusing helps.

Change: what is refused is lost for sure, so it has to save more calls than it costs. Copies follow what share of the calls sent while less than half was refused is served, and refuse at most the share by which the late ones outnumber them, with a quarter on signs alone, before that shows.

--- a/src/main/java/cranedeal/Call.java
+++ b/src/main/java/cranedeal/Call.java
@@ -22,13 +22,13 @@
         /** Whether it was taken as a sign of overload while it was out. */
         boolean strained;
 
-        Attempt(Call call, Server server, double sentAt) {
+        Attempt(Call call, Server server, double sentAt, double pressure) {
             this.call = call;
             this.server = server;
             this.number = call.attempts.size();
             this.sentAt = sentAt;
             this.behind = server.out.size();
-            this.pressure = call.record.leader.pressure;
+            this.pressure = pressure;
         }
     }
 
--- a/src/main/java/cranedeal/ClassRecord.java
+++ b/src/main/java/cranedeal/ClassRecord.java
@@ -20,6 +20,9 @@
     /** Share of the work asked for that is refused at once, and when it was last moved. */
     double pressure;
     double feltAt;
+    /** Share served of the calls that were sent while little was refused, and when one last told of it. */
+    double servedUnrefused = 1;
+    double unrefusedAt;
     /** How many times the expected latency only the slowest calls take. */
     double slowRatio;
 
--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -118,11 +118,15 @@
     /** Change of the share of work refused in a second of signs of overload, and in one of the opposite. */
     private static final double PRESSURE_UP = 0.9;
     private static final double PRESSURE_DOWN = 0.22;
-    /** The longest time in ms for which one late call stands. */
+    /** The longest time in ms for which one late call stands; how unrefused calls fare fades in as much. */
     private static final double LONGEST_GAP = 250;
     private static final double MOST_PRESSURE = 0.95;
     /** How far a call's sign of overload lifts that share above what was refused when it was sent. */
     private static final double PRESSURE_STEP = 0.3;
+    /** Share of work refused up to which the end of a call still tells how calls fare unrefused. */
+    private static final double MOSTLY_SENT = 0.5;
+    /** Share of work that may be refused on signs alone, before it shows how calls fare unrefused. */
+    private static final double ON_SIGNS = 0.25;
     private static final int PLAN_STEPS = 10;
     /** The longest wait advised to a refused client, of its aim: it should come back in good time. */
     private static final double RETURN_SHARE = 0.5;
@@ -280,7 +284,7 @@
         double least = Double.MAX_VALUE;
         for (int step = 1; step <= PLAN_STEPS; step++) {
             double most = (double) step / PLAN_STEPS;
-            double left = leader.pressure * allWork;
+            double left = refused(leader) * allWork;
             double loss = forWorst * most;
             for (int i = 0; i < parts.length; i++) {
                 parts[i] = Math.min(most, left / work(cheapestFirst[i]));
@@ -458,7 +462,7 @@
     // ---- The send ----------------------------------------------------------------------------------
 
     private void send(Call call, Server server, double now) {
-        Attempt attempt = new Attempt(call, server, now);
+        Attempt attempt = new Attempt(call, server, now, refused(call.record.leader));
         double timeout = call.usefulEnd - now;
         double slowAfter = slowAfter(call);
         boolean repeatable = call.type.repeat() != Repeat.AT_MOST_ONCE && !call.type.streamed();
@@ -500,6 +504,7 @@
             Attempt attempt = call.attempts.get(number - STRAIN_TIMER);
             if (attempt.result == null && !attempt.streaming) {
                 attempt.strained = true;
+                seeUnrefused(attempt, false, now);
                 feelPressure(attempt, false, now);
             }
         } else if (!call.streaming && call.attempts.size() == number + 1
@@ -533,6 +538,9 @@
         }
         learn(attempt, outcome, now);
         boolean inGoodTime = outcome.elapsed() < strainedAfter(call);
+        if (settings.tier() == 0 && outcome.result() != Result.CANCELLED) {
+            seeUnrefused(attempt, outcome.result() == Result.OK, now);
+        }
         // What breaks at once tells of a sick server: to refuse others would not help.
         boolean sick = inGoodTime && (outcome.result() == Result.ERROR || outcome.result() == Result.RESET
                 || outcome.result() == Result.CONNECT_FAILED);
@@ -681,6 +689,30 @@
         return (STRAINED + call.type.lateWorth()) * call.type.aim() * Math.max(1, call.size());
     }
 
+    /**
+     * How calls fare while less than half is refused. One that is overdue counts as late until it is served;
+     * each stands for the time since the one before.
+     */
+    private static void seeUnrefused(Attempt attempt, boolean served, double now) {
+        ClassRecord leader = attempt.call.record.leader;
+        if (attempt.pressure < MOSTLY_SENT) {
+            double kept = Math.exp((leader.unrefusedAt - now) / LONGEST_GAP);
+            leader.servedUnrefused = kept * leader.servedUnrefused + (served ? 1 - kept : 0);
+            leader.unrefusedAt = now;
+        }
+    }
+
+    /**
+     * The share of work to refuse: the pressure, up to what can pay. What is refused is lost for sure, so
+     * that has to save more calls than it costs. In a jam hardly a call comes in time; but where calls are
+     * late for a reason of their own, such as work that takes half of its aim or connections that come up
+     * late, refusing one makes no other faster, and those that would have been served are all lost.
+     */
+    private static double refused(ClassRecord leader) {
+        double lateBeyondServed = 1 - 2 * leader.servedUnrefused;
+        return Math.min(leader.pressure, Math.max(ON_SIGNS, lateBeyondServed));
+    }
+
     /**
      * Each sign stands for the time since the one before: the level moves as fast where traffic is thin, or
      * where so much is refused that few outcomes come, and does not outlast its cause. That time is bounded
