Try again what could not connect without a charge to the retry budget

Cause: tryAgain charges each further attempt to the budget, 0.1 a request, which is there to bound the work of retries and copies when all is slow. Two failed connects in a row use up what a request earns twenty times over, and those after it are refused though a server with time to spare is a connect away. Ruled out: the cap of attempts and the time left (the log has "n=1 late=false" for 20 of the 43 given up after one attempt). Change: what provably reached no server is tried again within the cap and the time alone.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -594,12 +594,16 @@
         }
     }
 
-    /** Another attempt if rule, time and budget allow; otherwise the final answer. */
+    /**
+     * Another attempt if rule, time and budget allow; otherwise the final answer. What never reached a server
+     * cost it no work, so it is not charged to the budget, which is there for the time when all is slow.
+     */
     private void tryAgain(Call call, Result result, double now) {
-        if (result == Result.NOT_SENT || extraCalls < 1) {
+        boolean charged = result != Result.CONNECT_FAILED;
+        if (result == Result.NOT_SENT || charged && extraCalls < 1) {
             answerUnserved(call, now);
         } else {
-            extraCalls -= 1;
+            extraCalls -= charged ? 1 : 0;
             dispatch(call, now);
         }
     }
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -213,6 +213,32 @@
         assertTrue(sends > 1_050 && sends < 1_150, sends + " sends for 1000 requests");
     }
 
+    @Test
+    void attemptsThatReachedNoServerAreNotChargedToTheBudget() {
+        Bench bench = new Bench(Sites.plain().build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2), Sites.server(3), Sites.server(4),
+                Sites.server(5));
+        for (int i = 0; i < 40; i++) {
+            bench.request(i, 0);
+            for (int failed = 0; failed < 2; failed++) {
+                int sends = bench.sends.size();
+                bench.finish(bench.lastSend(), Result.CONNECT_FAILED);
+                assertEquals(sends + 1, bench.sends.size(), "request " + i + " was given up");
+            }
+            bench.finish(bench.lastSend(), Result.OK);
+            bench.advance(50);
+        }
+        // The cap on the attempts of one request holds all the same.
+        int sends = bench.sends.size();
+        bench.request(40, 0);
+        for (int i = 0; i < 4; i++) {
+            assertEquals(sends + i + 1, bench.sends.size());
+            bench.finish(bench.lastSend(), Result.CONNECT_FAILED);
+        }
+        assertEquals(sends + 4, bench.sends.size());
+        assertEquals(List.of(40L), bench.refused);
+    }
+
     @Test
     void extraAttemptsThatServeAreNotBoundedByTheBudget() {
         Bench bench = new Bench(Sites.plain().tier(1).build(), 1);
