Read JSON without the library's mapper, a fifth of a start's processor time

Symptom: a balancer that starts with some 200 others on few cores was not ready in time. Where that was seen again its threads were asleep before the program's first class had been loaded, so that one is not shown to be a matter of cost; but the cost of a start is what the program can answer for.

Cause of the cost: what a start takes was measured on one process after another, eight processors shared with other work (median of nine, user and system time until /_health answers): 0.57 s, of which the main thread 0.29 s, the compiler 0.20 s, the event loop 0.08 s. By the log of class loading 0.15 s of 0.70 s went from the first to the last class of Jackson: 412 classes for NodeConfig's JsonMapper (NodeConfig line 25), which binds objects; only its readTree was used.

Change: Json makes the same tree from the library's parser.

--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -274,7 +274,7 @@
                 throw new IOException("status " + response.status().code());
             }
             try (InputStream body = new ByteBufInputStream(response.content())) {
-                return Roster.parse(NodeConfig.JSON.readTree(body), config.zones(), config.kinds());
+                return Roster.parse(Json.read(body), config.zones(), config.kinds());
             }
         }
     }
--- a/src/main/java/cranedeal/node/NodeConfig.java
+++ b/src/main/java/cranedeal/node/NodeConfig.java
@@ -1,14 +1,14 @@
 package cranedeal.node;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import cranedeal.LoadBalancer.Settings;
 import cranedeal.wire.MalformedInputException;
 import cranedeal.wire.SettingsParser;
+import java.io.FileInputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -24,14 +24,12 @@
         Settings settings, List<String> zones, List<String> kinds, List<String> classes,
         List<String> tenants, Roster known) {
 
-    static final JsonMapper JSON = new JsonMapper();
-
     static NodeConfig read(String path) throws ConfigException {
         if (path == null || path.isEmpty()) {
             throw new ConfigException("PROXY_CONFIG names no file");
         }
-        try {
-            return parse(JSON.readTree(Path.of(path).toFile()));
+        try (InputStream file = new FileInputStream(path)) {
+            return parse(Json.read(file));
         } catch (IOException e) {
             String why = e.getMessage().lines().findFirst().orElse("");
             throw new ConfigException("cannot read " + path + ": " + why);
--- a/src/test/java/cranedeal/node/DiscoveryTest.java
+++ b/src/test/java/cranedeal/node/DiscoveryTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cranedeal.LatencyWeightedBalancer;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import cranedeal.LoadBalancer.Change;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.EventLoop;
@@ -182,8 +183,8 @@
             Peer watch = stage.discovery.accept();
             watch.read();
             String plain = Stage.roster(45, true, Stage.entry(0, stage.upstreams.get(0).address(), "up"));
-            watch.write(Stage.ok(NodeConfig.JSON.writerWithDefaultPrettyPrinter()
-                    .writeValueAsString(NodeConfig.JSON.readTree(plain)).replace("\n", "\r\n\t")));
+            watch.write(Stage.ok(new JsonMapper().writerWithDefaultPrettyPrinter()
+                    .writeValueAsString(new JsonMapper().readTree(plain)).replace("\n", "\r\n\t")));
             assertEquals(Change.FULL, Script.next(stage.script.changes));
             assertWatches(45, watch);
             stage.servesStill();
--- /dev/null
+++ b/src/test/java/cranedeal/node/StartTest.java
@@ -0,0 +1,66 @@
+package cranedeal.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What a start costs, in counts that are the same on a slow machine and on one that is busy. */
+@Timeout(120)
+class StartTest {
+
+    /** Classes from Jackson that a start may load: with its mapper there would be some four hundred. */
+    private static final int MOST_OF_JACKSON = 150;
+    /** All classes that it may load where none are archived, the virtual machine's own with them. */
+    private static final int MOST_CLASSES = 2_500;
+
+    /** The names of the classes that a process has loaded by the time at which it serves. */
+    private static List<String> classesOfAStart() throws Exception {
+        Path config = Files.createTempFile("node", ".json");
+        Path log = Files.createTempFile("classes", ".log");
+        Process process = null;
+        try (Stage stage = new Stage(2)) {
+            int port;
+            try (ServerSocket free = new ServerSocket(0)) {
+                port = free.getLocalPort();
+            }
+            Files.writeString(config, stage.config().replace("127.0.0.1:0", "127.0.0.1:" + port));
+            ProcessBuilder builder = new ProcessBuilder(
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-Xlog:class+load:file=" + log + ":none", "-Dio.netty.jfr.enabled=false", "-cp",
+                    System.getProperty("java.class.path"), Main.class.getName(), "serve");
+            builder.environment().put("PROXY_CONFIG", config.toString());
+            process = builder.redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                    .redirectError(ProcessBuilder.Redirect.DISCARD).start();
+            stage.discovery.accept().write(Stage.ok(Stage.roster(42, false)));
+            Peer.toServing(new InetSocketAddress("127.0.0.1", port), process).close();
+            process.destroyForcibly().waitFor();
+            try (Stream<String> lines = Files.lines(log)) {
+                return lines.map(line -> line.split(" ")[0]).toList();
+            }
+        } finally {
+            if (process != null) {
+                process.destroyForcibly();
+            }
+            Files.delete(config);
+            Files.delete(log);
+        }
+    }
+
+    @Test
+    void aStartLoadsNoMoreClassesThanItNeeds() throws Exception {
+        List<String> classes = classesOfAStart();
+        assertTrue(classes.contains(Main.class.getName()), "the log is of no use");
+        assertEquals(List.of(), classes.stream().filter(name -> name.endsWith(".ObjectMapper")).toList());
+        long jackson = classes.stream().filter(name -> name.startsWith("com.fasterxml.jackson.")).count();
+        assertTrue(jackson <= MOST_OF_JACKSON, jackson + " classes of Jackson");
+        assertTrue(classes.size() <= MOST_CLASSES, classes.size() + " classes");
+    }
+}
