Give the archive of classes its name only once it is whole

Cause: Rehearsal had the virtual machine write target/sablehinge.jsa in place and waited a minute for its end (Rehearsal lines 44 to 50, pom.xml's rehearsal). On a slow machine it is killed then with the archive half written, the build goes on (failOnError is off), and every balancer of that build dies at its start: with the archive cut to 100 kB, 30 %, 60 % or 95 % the virtual machine ends by SIGBUS (status 134), -Xshare:auto or not.

Ruled out: the archive missing, made of random bytes, or older than its jar; each of these starts, only slower (until /_health answers 1.17 s, 1.03 s and 0.95 s of processor time for 0.41 s with it, one run each). Moved to another folder with its jar it is used as before.

Change: it is written as a .part and takes its name when the program has ended by itself; otherwise it is removed and the build says so. Test: a process that ignores SIGTERM leaves neither file, one that ends has its last bytes in the archive; it fails when the end isn't waited for (the half stands at the archive's name).

--- a/src/test/java/cranedeal/node/Rehearsal.java
+++ b/src/test/java/cranedeal/node/Rehearsal.java
@@ -5,6 +5,10 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -18,8 +22,12 @@
     private Rehearsal() {
     }
 
-    /** The arguments are the command that starts the program. */
-    public static void main(String[] command) throws Exception {
+    /** The arguments are the archive to make and the command that starts the program, java first. */
+    public static void main(String[] arguments) throws Exception {
+        Path archive = Path.of(arguments[0]);
+        Path part = archive.resolveSibling(archive.getFileName() + ".part");
+        List<String> command = new ArrayList<>(List.of(arguments).subList(1, arguments.length));
+        command.add(1, "-XX:ArchiveClassesAtExit=" + part);
         Path file = Files.createTempFile("rehearsal", ".json");
         Process process = null;
         try (Stage stage = new Stage(2)) {
@@ -41,8 +49,7 @@
                     caller.read();
                 }
             }
-            process.destroy();
-            process.waitFor(1, TimeUnit.MINUTES);
+            keep(process, part, archive, Duration.ofMinutes(1));
         } finally {
             if (process != null) {
                 process.destroyForcibly();
@@ -51,6 +58,23 @@
         }
     }
 
+    /**
+     * Has the process end, and what it has written by then take its place. With half an archive the virtual
+     * machine would die at its start, where without any it only starts slower: unless the process has ended
+     * by itself there is none.
+     */
+    static void keep(Process process, Path part, Path archive, Duration patience)
+            throws IOException, InterruptedException {
+        process.destroy();
+        if (process.waitFor(patience.toMillis(), TimeUnit.MILLISECONDS)) {
+            Files.move(part, archive, StandardCopyOption.ATOMIC_MOVE);
+        } else {
+            process.destroyForcibly().waitFor();
+            Files.deleteIfExists(part);
+            System.err.println("no archive of classes: the program did not end in its time");
+        }
+    }
+
     /** Answers whatever comes with the same text. */
     private static void serve(Listener listener, String answer) {
         Thread acceptor = new Thread(() -> {
--- a/src/test/java/cranedeal/node/StartTest.java
+++ b/src/test/java/cranedeal/node/StartTest.java
@@ -1,12 +1,15 @@
 package cranedeal.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -63,4 +66,38 @@
         assertTrue(jackson <= MOST_OF_JACKSON, jackson + " classes of Jackson");
         assertTrue(classes.size() <= MOST_CLASSES, classes.size() + " classes");
     }
+
+    /** A program that writes a part of its archive before it serves and the rest when it ends, if it ends. */
+    private static Process writer(Path part, String atTerm) throws IOException {
+        Process process = new ProcessBuilder("/bin/sh", "-c", "trap '" + atTerm + "' TERM; "
+                + "printf half > \"$0\"; echo; while :; do read -r line; done", part.toString()).start();
+        assertEquals('\n', process.getInputStream().read());
+        return process;
+    }
+
+    @Test
+    void anArchiveThatIsNotWholeTakesNoPlace() throws Exception {
+        Path folder = Files.createTempDirectory("archive");
+        Path part = folder.resolve("classes.part");
+        Path archive = folder.resolve("classes");
+        Process stuck = writer(part, ":");
+        try {
+            Rehearsal.keep(stuck, part, archive, Duration.ofMillis(1));
+            assertFalse(stuck.isAlive());
+            assertFalse(Files.exists(archive));
+            assertFalse(Files.exists(part));
+        } finally {
+            stuck.destroyForcibly();
+        }
+        Process ending = writer(part, "printf whole >> \"$0\"; exit 143");
+        try {
+            Rehearsal.keep(ending, part, archive, Duration.ofMillis(Peer.PATIENCE_MS));
+            assertEquals("halfwhole", Files.readString(archive));
+            assertFalse(Files.exists(part));
+        } finally {
+            ending.destroyForcibly();
+        }
+        Files.delete(archive);
+        Files.delete(folder);
+    }
 }
