Wait no more than 2 s between two calls to discovery, whatever the settings

After calls that failed the module waits for a part of rules.askEvery where lists are asked for (up to 0.2 of it) and of rules.drainGrace where they are pushed (up to half). Both are settings. With 10 s and 0.25 s the wait ends within 2 s and 0.125 s; with askEvery at 30 s it alone takes the 6 s, and a call that hangs comes on top.

Ruled out: the doubling itself (bounded at both settings that the sites have), and the question about a list in doubt (doubtList), which comes on top of the watch and puts nothing off.

Lines at fault: LatencyWeightedBalancer.upstreamsChanged, the FAILED branch. It now draws from 1 s to 2 s at most. Worst case for lists that are asked for, from when discovery can be reached: 1 s for a connect that had begun to hang, 2 s for the wait, and the reply.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -104,6 +104,11 @@
      * not a watch is open, so the next one has to bring it, and be acted on, within that grace.
      */
     private static final double ASK_PUSHED = 0.25;
+    /**
+     * Most of either in ms, whatever the settings: news counts as told 6 s after the registry had it and
+     * could be reached. A call that began just before may hang for another second, and a reply takes time.
+     */
+    private static final double ASK_AT_LATEST = 1_000;
 
     /** Calls in a row that a listed server turned away or did not let connect: the list may be old. */
     private static final int DOUBTS = 3;
@@ -765,6 +770,7 @@
             if (!settings.subscribe()) {
                 wait = Math.min(wait, ASK_PUSHED * settings.rules().drainGrace());
             }
+            wait = Math.min(wait, ASK_AT_LATEST);
             failures++;
             actions.setTimer(WATCH_TOKEN, now + wait * (1 + random.nextDouble()));
             return;
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -12,6 +12,8 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import cranedeal.LoadBalancer.Change;
 import cranedeal.LoadBalancer.Group;
 import cranedeal.LoadBalancer.Repeat;
@@ -321,6 +323,20 @@
         assertTrue(instants > 3, "copies ask at " + instants + " instants");
     }
 
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void theNextCallToTheRegistryNeverWaitsForAThirdOfTheTimeAfterWhichNewsCountsAsTold(boolean subscribe) {
+        for (int seed = 0; seed < 20; seed++) {
+            Bench bench = new Bench(Sites.plain().subscribe(subscribe).askEvery(600_000).drainGrace(600_000)
+                    .build(), seed);
+            bench.list(Change.CACHED, Sites.server(1));
+            for (int i = 0; i < 30; i++) {
+                double wait = waitToAskAgain(bench);
+                assertTrue(wait <= 2_001, "asked after " + wait + " ms, failure " + i);
+            }
+        }
+    }
+
     /** Fails a call to the registry and returns after how many ms the next one comes. */
     private static double waitToAskAgain(Bench bench) {
         int watches = bench.watches;
--- a/src/test/java/cranedeal/Sites.java
+++ b/src/test/java/cranedeal/Sites.java
@@ -86,6 +86,8 @@
         private int tier;
         private double crossZone;
         private double connection;
+        private double askEvery = 10_000;
+        private double drainGrace = 500;
         private boolean inOrder;
         private List<Integer> onlyZones;
         private List<Integer> onlyKinds;
@@ -168,6 +170,16 @@
             return this;
         }
 
+        Builder askEvery(double value) {
+            askEvery = value;
+            return this;
+        }
+
+        Builder drainGrace(double value) {
+            drainGrace = value;
+            return this;
+        }
+
         Settings build() {
             List<ServiceClass> classes = List.of(
                     new ServiceClass("first", AIM, 0, DEADLINE, 5, lateWorth, repeat, group, memory,
@@ -178,7 +190,7 @@
                     0.1, WeightKind.NONE, Reports.NONE, List.of(), classes, List.of(),
                     new Limits(4, 1_000, true, parallel, false, false, true, 2_000, 100, 30_000, 1, 0,
                             800_000),
-                    new Rules(20, 500, 10_000, 0.2, 10_000, 3, 1_500, 100),
+                    new Rules(20, drainGrace, askEvery, 0.2, 10_000, 3, 1_500, 100),
                     new Goal(0.6, 0.2, 0.2, 0, 0, 0, 0, 0),
                     new Prices(crossZone, 0, 0.02, 0.03, connection, 0, 0, 0));
         }
