Let the call to discovery after a failed one not wait for news, so that it shows soon

Found by reading, in each path that puts off asking. A watch that falls silent shows it by the want of an answer, after its wait of 1 s to 2 s and 1 s more. The next call had such a wait too, and so had each one while calls failed: a discovery that came back and lost one more answer was heard of after 3 s, the wait until the next call (up to 2 s), and 3 s again. A call that had hung in connecting had its time counted from the start, so that it was also given up with its answer under way.

Now the call after a failure asks for what is there already, with no wait, and is given up 1 s after its question is out; connects keep their own second. From when discovery can be reached, the list is there after 1 s for a call under way that hangs, the module's wait (0.13 s of drainGrace's 0.25 s where lists are pushed, up to 2 s where they are asked for) and the answer; a silent watch before it adds its 3 s once.

Evidence: two of the new tests fail without the change: "expected: <0> but was: <1260>" and "<1539>" for the wait of the call after a failure. Four more show what holds already: a connect that hangs is a failure after a second (with no time-out of its own it is not told within 15 s), an answer that dribbles in without end is cut off (with no expiry it is not), a watch goes on over a new connection after `Connection: close`, and a whole list of a lower version is taken in and gone on from. All are ordered by the loop's timers or by the peer.

Lines at fault: node.Discovery.watchOn and the patience of node.Discovery.Call.

--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -67,6 +67,8 @@
     private boolean watching;
     /** Whether a watch has been answered yet, so that the list is known to be no older than that. */
     private boolean heard;
+    /** Whether the last call failed, so that the list may be old and more calls may fail. */
+    private boolean failed;
     /** The watch's connection, kept from call to call, and its call that is out. */
     private Channel kept;
     private Call watch;
@@ -132,12 +134,14 @@
 
     /**
      * Asks for what is newer. Where news is pushed, what the agent has counts as told from the start on, so
-     * the first watch does not wait: its answer tells how old the known list is, also that it is not.
+     * the first watch does not wait: its answer tells how old the known list is, also that it is not. Nor
+     * does the one after a failure: news counts as told 6 s after discovery had it and could be reached, and
+     * several calls that fail in a row would each take their whole wait of that before they show it.
      */
     private void watchOn() {
-        int wait = heard || config.settings().subscribe()
+        int wait = !failed && (heard || config.settings().subscribe())
                 ? random.nextInt(watchMillis / SHORTEST_PART, watchMillis + 1) : 0;
-        watch = version == UNTOLD ? new Call("", CONNECT_TIMEOUT_MS + LATE_MS, this::watched)
+        watch = version == UNTOLD ? new Call("", LATE_MS, this::watched)
                 : new Call("?index=" + version + "&wait=" + wait, wait + LATE_MS, this::watched);
         watch.start(kept);
     }
@@ -156,7 +160,7 @@
 
     /** Asks once for the whole list. */
     void fetch() {
-        Call call = new Call("", CONNECT_TIMEOUT_MS + LATE_MS, null);
+        Call call = new Call("", LATE_MS, null);
         call.end = roster -> fetched(call, roster);
         call.start(null);
     }
@@ -177,15 +181,17 @@
 
     /** A list that its listener can't take must not end the watch for good: it counts as a failed call. */
     private void tell(Roster roster) {
-        if (roster == null) {
-            listener.told(Change.FAILED, null);
-            return;
+        failed = roster == null;
+        if (roster != null) {
+            try {
+                listener.told(roster.full() ? Change.FULL : Change.DELTA, roster);
+                version = roster.version();
+            } catch (RuntimeException e) {
+                Node.LOG.log(Level.SEVERE, "a list of upstreams could not be taken in", e);
+                failed = true;
+            }
         }
-        try {
-            listener.told(roster.full() ? Change.FULL : Change.DELTA, roster);
-            version = roster.version();
-        } catch (RuntimeException e) {
-            Node.LOG.log(Level.SEVERE, "a list of upstreams could not be taken in", e);
+        if (failed) {
             listener.told(Change.FAILED, null);
         }
     }
@@ -195,15 +201,17 @@
 
         private final String query;
         private final InetSocketAddress asked = address;
-        private final Future<?> expiry;
+        private final int patience;
+        private Future<?> expiry;
         private Consumer<Roster> end;
         private Channel channel;
         private boolean over;
 
-        Call(String query, long patience, Consumer<Roster> end) {
+        /** The answer must be whole within {@code patience}, in ms, from when the question is written. */
+        Call(String query, int patience, Consumer<Roster> end) {
             this.query = query;
+            this.patience = patience;
             this.end = end;
-            expiry = loop.schedule(this::fail, patience, TimeUnit.MILLISECONDS);
         }
 
         /** Asks over the given connection if it still stands, otherwise over a new one. */
@@ -226,6 +234,7 @@
 
         private void ask(Channel connection) {
             channel = connection;
+            expiry = loop.schedule(this::fail, patience, TimeUnit.MILLISECONDS);
             channel.pipeline().get(Answers.class).asked = this;
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                     "/catalog/members" + query, Unpooled.EMPTY_BUFFER);
@@ -239,7 +248,9 @@
 
         private void abandon() {
             over = true;
-            expiry.cancel(false);
+            if (expiry != null) {
+                expiry.cancel(false);
+            }
             if (channel != null) {
                 channel.close();
             }
--- /dev/null
+++ b/src/test/java/cranedeal/node/Backlog.java
@@ -0,0 +1,53 @@
+package cranedeal.node;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A listening socket whose queue is full: further connections hang until someone is accepted. */
+final class Backlog implements AutoCloseable {
+
+    private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+    private final List<SocketChannel> filling = new ArrayList<>();
+
+    Backlog() throws Exception {
+        for (int i = 0; i < 4; i++) {
+            SocketChannel channel = SocketChannel.open();
+            channel.configureBlocking(false);
+            channel.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            channel.connect(server.getLocalSocketAddress());
+            filling.add(channel);
+        }
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    /** Lets those in that fill the queue, then the next one that is none of them. */
+    Peer acceptLast() throws Exception {
+        List<Integer> own = new ArrayList<>();
+        for (SocketChannel channel : filling) {
+            own.add(((InetSocketAddress) channel.getLocalAddress()).getPort());
+        }
+        server.setSoTimeout(Peer.PATIENCE_MS);
+        Peer next = new Peer(server.accept());
+        while (own.contains(next.socket.getPort())) {
+            next.close();
+            next = new Peer(server.accept());
+        }
+        return next;
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (SocketChannel channel : filling) {
+            channel.close();
+        }
+        server.close();
+    }
+}
--- a/src/test/java/cranedeal/node/DiscoveryTest.java
+++ b/src/test/java/cranedeal/node/DiscoveryTest.java
@@ -33,6 +33,8 @@
     private static final Pattern WATCH =
             Pattern.compile("GET /catalog/members\\?index=(?<version>\\d+)&wait=(?<wait>\\d+) HTTP/1.1");
 
+    /** Far longer than any call may take, and shorter than a test waits. */
+    private static final long TIME_UP_MS = 15_000;
     private final Stage stage = new Stage();
 
     DiscoveryTest() throws IOException {
@@ -229,24 +231,149 @@
         }
     }
 
+    /** A discovery's caller on its own, which tells what it is told, and by {@code LATE} that time is up. */
+    private static final class Lone implements AutoCloseable {
+
+        private static final String LATE = "LATE";
+
+        private final EventLoop loop =
+                (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        private final LinkedBlockingQueue<String> told = new LinkedBlockingQueue<>();
+        private final Discovery discovery;
+
+        /** Its watches wait for at most so long, in ms. */
+        Lone(Stage stage, String address, int watchMillis) throws Exception {
+            Path file = Files.createTempFile("node", ".json");
+            try {
+                Files.writeString(file, stage.config().replace(stage.discovery.address(), address));
+                discovery = new Discovery(loop, NodeConfig.read(file.toString()), ByteBufAllocator.DEFAULT,
+                        (change, roster) -> told.add(change.name()), watchMillis);
+            } finally {
+                Files.delete(file);
+            }
+        }
+
+        /** Watches, with so many ms to do so: the loop rings in the order of time, however late. */
+        void watch(long time) {
+            loop.execute(() -> {
+                discovery.watch(true);
+                loop.schedule(() -> told.add(LATE), time, TimeUnit.MILLISECONDS);
+            });
+        }
+
+        @Override
+        public void close() {
+            loop.parent().shutdownGracefully();
+        }
+    }
+
     @Test
     void aSilentDiscoveryIsAFailureOnceItsWaitIsOver() throws Exception {
-        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        Path file = Files.createTempFile("node", ".json");
-        try (stage) {
-            Files.writeString(file, stage.config());
-            LinkedBlockingQueue<Change> told = new LinkedBlockingQueue<>();
-            Discovery discovery = new Discovery(loop, NodeConfig.read(file.toString()),
-                    ByteBufAllocator.DEFAULT, (change, roster) -> told.add(change), 100);
-            loop.execute(() -> discovery.watch(true));
+        try (stage; Lone lone = new Lone(stage, stage.discovery.address(), 100)) {
+            lone.watch(TIME_UP_MS);
             Peer watch = stage.discovery.accept();
             int wait = assertWatches(41, watch);
             assertTrue(wait >= 50 && wait <= 100);
             assertTrue(watch.ended());
-            assertEquals(Change.FAILED, Script.next(told));
-        } finally {
-            Files.delete(file);
-            loop.parent().shutdownGracefully();
+            assertEquals("FAILED", Script.next(lone.told));
+        }
+    }
+
+    @Test
+    void aConnectionToDiscoveryThatNeverComesUpIsAFailureAfterASecond() throws Exception {
+        try (stage; Backlog full = new Backlog();
+                Lone lone = new Lone(stage, full.address(), Discovery.WATCH_MS)) {
+            lone.watch(TIME_UP_MS);
+            assertEquals("FAILED", Script.next(lone.told));
+        }
+    }
+
+    @Test
+    void anAnswerThatDribblesInWithoutEndIsAFailureOnceItsTimeIsOver() throws Exception {
+        try (stage; Lone lone = new Lone(stage, stage.discovery.address(), 100)) {
+            lone.watch(TIME_UP_MS);
+            Peer watch = stage.discovery.accept();
+            assertWatches(41, watch);
+            watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            try {
+                while (lone.told.isEmpty()) {
+                    watch.write("1\r\n \r\n");
+                    TimeUnit.MILLISECONDS.sleep(1);
+                }
+            } catch (IOException e) {
+                // It is not listened to any more.
+            }
+            assertEquals("FAILED", Script.next(lone.told));
+        }
+    }
+
+    @Test
+    void aCallAfterAFailureIsGivenUpAfterASecondWithNoAnswer() throws Exception {
+        try (stage; Lone lone = new Lone(stage, stage.discovery.address(), Discovery.WATCH_MS)) {
+            lone.watch(TIME_UP_MS);
+            stage.discovery.accept().reset();
+            assertEquals("FAILED", Script.next(lone.told));
+            lone.watch(TIME_UP_MS);
+            Peer silent = stage.discovery.accept();
+            // Were it to wait, it would show only after that that nobody answers.
+            assertEquals(0, assertWatches(41, silent));
+            assertEquals("FAILED", Script.next(lone.told));
+            lone.watch(TIME_UP_MS);
+            Peer watch = stage.discovery.accept();
+            assertEquals(0, assertWatches(41, watch));
+            watch.write(Stage.ok(Stage.roster(42, false)));
+            // Once there has been an answer, watches wait again.
+            assertTrue(assertWatches(42, watch) > 0);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"automatic", "subscribe"})
+    void whatDiscoveryHadWhileCallsToItFailedIsAskedForWithoutAWait(String mode) throws Exception {
+        try (stage) {
+            stage.registryMode = mode;
+            stage.firstNews = 1;
+            stage.start(LatencyWeightedBalancer::new);
+            Peer first = stage.discovery.accept();
+            assertWatches(41, first);
+            first.write(Stage.ok(Stage.roster(42, false)));
+            assertWatches(42, first);
+            first.reset();
+            for (int i = 0; i < 2; i++) {
+                stage.discovery.accept().reset();
+            }
+            Peer watch = stage.discovery.accept();
+            assertEquals(0, assertWatches(42, watch));
+            watch.write(Stage.ok(Stage.roster(43, false)));
+            assertTrue(assertWatches(43, watch) >= Discovery.WATCH_MS / 2);
+        }
+    }
+
+    @Test
+    void aWatchGoesOnOverANewConnectionWhereItsAnswerEndsTheOldOne() throws Exception {
+        try (stage) {
+            started();
+            Peer watch = stage.discovery.accept();
+            assertWatches(41, watch);
+            watch.write(Stage.ok(Stage.roster(42, false))
+                    .replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"));
+            assertEquals(Change.DELTA, Script.next(stage.script.changes));
+            assertTrue(watch.ended());
+            assertWatches(42, stage.discovery.accept());
+            assertTrue(stage.script.changes.isEmpty());
+        }
+    }
+
+    @Test
+    void aWholeListOfALowerVersionIsTakenInAndGoneOnFrom() throws Exception {
+        try (stage) {
+            started();
+            Peer watch = stage.discovery.accept();
+            assertWatches(41, watch);
+            watch.write(Stage.ok(Stage.roster(7, true,
+                    Stage.entry(0, stage.upstreams.get(0).address(), "up"))));
+            assertEquals(Change.FULL, Script.next(stage.script.changes));
+            assertWatches(7, watch);
         }
     }
 
