Ask for the whole list, in good time and once, where a list could not be taken in

Found by reading ("a list that can't be taken in"). Two faults: - where the module failed over a list, node.Node took that in silence and node.Discovery went on from the list's version: what it told was lost for good (Node.told, whose call of the module is caught in Node.tell); - where the listener refused a list, the next call went out at once and from the version before, so discovery told the same again, at once and without end, and each round set one more timer of the module (Discovery.watched).

Now a list that is not taken in is a failed call like any other: the module's wait goes before the next one, and that asks for the whole list, as it is not known how much of this one was taken in.

Evidence: the new test. Before, the call after such a list was "GET /catalog/members?index=45&wait=1260", from the list that had not been taken in.

Ruled out: a list that can't be read (it is refused whole, and asked for again from the version before, which tests held to already).

--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -152,8 +152,9 @@
         heard |= roster != null;
         // Changes say nothing of the rest to somebody who has no list of that discovery.
         tell(roster != null && (version != UNTOLD || roster.full()) ? roster : null);
-        // The watch goes on only if its next call comes soon, so it must not wait for the module.
-        if (roster != null && watching && watch == null) {
+        // The watch goes on only if its next call comes soon, so it must not wait for the module. One that
+        // brought a list of no use would bring it again, at once and without end.
+        if (!failed && watching && watch == null) {
             watchOn();
         }
     }
@@ -179,7 +180,10 @@
         tell(roster != null && roster.full() ? roster : null);
     }
 
-    /** A list that its listener can't take must not end the watch for good: it counts as a failed call. */
+    /**
+     * A list that its listener can't take must not end the watch for good: it counts as a failed call. How
+     * much of it was taken in is not known, so that only a whole list will do from there on.
+     */
     private void tell(Roster roster) {
         failed = roster == null;
         if (roster != null) {
@@ -189,6 +193,7 @@
             } catch (RuntimeException e) {
                 Node.LOG.log(Level.SEVERE, "a list of upstreams could not be taken in", e);
                 failed = true;
+                version = UNTOLD;
             }
         }
         if (failed) {
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -233,13 +233,21 @@
         settle(exchange);
     }
 
+    /** Takes in news; throws if the module did not take the list, which then has to be asked for anew. */
     private void told(Change change, Roster roster) {
         List<Upstream> entries = roster == null ? List.of() : entries(roster);
         if (roster != null) {
             upstreams.update(roster);
         }
-        tell(null, () -> balancer.upstreamsChanged(clock.now(), change, entries));
+        boolean[] taken = new boolean[1];
+        tell(null, () -> {
+            balancer.upstreamsChanged(clock.now(), change, entries);
+            taken[0] = true;
+        });
         if (roster != null) {
+            if (!taken[0]) {
+                throw new IllegalStateException("the decision module took no list");
+            }
             untold.countDown();
         }
     }
--- a/src/test/java/cranedeal/node/DiscoveryTest.java
+++ b/src/test/java/cranedeal/node/DiscoveryTest.java
@@ -349,6 +349,39 @@
         }
     }
 
+    @Test
+    void aListThatIsNotTakenInIsAskedForWholeOnceTheModuleAsks() throws Exception {
+        try (stage) {
+            started();
+            stage.script.onNews = change -> {
+                if (change == Change.DELTA) {
+                    throw new IllegalStateException("made by a test");
+                }
+            };
+            Peer watch = stage.discovery.accept();
+            assertWatches(41, watch);
+            watch.write(Stage.ok(Stage.roster(45, false, Stage.entry(0, "127.0.0.1:1", "draining"))));
+            assertEquals(Change.DELTA, Script.next(stage.script.changes));
+            assertEquals(Change.FAILED, Script.next(stage.script.changes));
+            stage.script.onRequest = request -> {
+                stage.script.actions.refuse(request.id(), 0);
+                stage.script.actions.watch(true);
+            };
+            Peer caller = stage.caller();
+            caller.write(Stage.get("again", "10"));
+            caller.read();
+            // The first call since then, on the connection that is as well as before, and the only one.
+            assertEquals("GET /catalog/members HTTP/1.1", watch.read().first());
+            watch.write(Stage.ok(Stage.roster(45, true,
+                    Stage.entry(0, stage.upstreams.get(0).address(), "up"))));
+            assertEquals(Change.FULL, Script.next(stage.script.changes));
+            assertWatches(45, watch);
+            assertEquals(0, stage.discovery.waiting());
+            stage.script.onRequest = request -> stage.script.sendTo(0, request, 0);
+            stage.servesStill();
+        }
+    }
+
     @Test
     void aWatchGoesOnOverANewConnectionWhereItsAnswerEndsTheOldOne() throws Exception {
         try (stage) {
--- a/src/test/java/cranedeal/node/Script.java
+++ b/src/test/java/cranedeal/node/Script.java
@@ -17,6 +17,8 @@
     volatile Consumer<Outcome> onOutcome = outcome -> { };
     /** What to do with an outcome that leaves its request open; by default it fails. */
     volatile BiConsumer<Actions, Outcome> onOpen = (to, outcome) -> to.fail(outcome.requestId());
+    /** What to do with news; by default no more than remember it. */
+    volatile Consumer<Change> onNews = change -> { };
     volatile Runnable onTimer = () -> { };
     volatile Runnable onStart = () -> { };
     final LinkedBlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
@@ -57,6 +59,7 @@
             upstreams = list;
         }
         changes.add(change);
+        onNews.accept(change);
     }
 
     @Override
