Keep the watch on discovery alive where a call to it finds no descriptor

Where no socket can be made, Netty hands back a failed future with a channel that was never registered, and calls its listener on a thread of its own. node.Discovery.Call.start closed that channel, which throws; by then the call counted as over and its time-out was called off, so that no failure was ever told: the module asked no more, and the watch was dead until the next SIGHUP.

Now the call fails on the loop like any other, idle connections go to make room, and the module asks again after its usual wait.

Evidence: the new test in DiscoveryTest, with sockets that can't be made for two calls: without the mend nothing is told within 15 s ("expected: <ROOM> but was: <LATE>").

Lines at fault: node.Discovery.Call.start.

--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -6,6 +6,9 @@
 import io.netty.buffer.ByteBufInputStream;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelFactory;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -59,9 +62,11 @@
     private final EventLoop loop;
     private final NodeConfig config;
     private final Listener listener;
+    private final Runnable makeRoom;
     private final int watchMillis;
     private final SplittableRandom random;
     private final Bootstrap bootstrap;
+    private ChannelFactory<Channel> channels = NioSocketChannel::new;
     private InetSocketAddress address;
     private long version;
     private boolean watching;
@@ -73,16 +78,18 @@
     private Channel kept;
     private Call watch;
 
+    /** {@code makeRoom} frees descriptors; it is called where there is none for a connection. */
     Discovery(EventLoop loop, NodeConfig config, ByteBufAllocator memory, Listener listener,
-            int watchMillis) {
+            Runnable makeRoom, int watchMillis) {
         this.loop = loop;
         this.config = config;
         this.listener = listener;
+        this.makeRoom = makeRoom;
         this.watchMillis = watchMillis;
         random = new SplittableRandom(config.seed());
         address = config.discovery();
         version = config.known().version();
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        bootstrap = new Bootstrap().group(loop).channelFactory(() -> channels.newChannel())
                 .option(ChannelOption.ALLOCATOR, memory).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .handler(new ChannelInitializer<Channel>() {
@@ -94,6 +101,11 @@
                 });
     }
 
+    /** Where its sockets come from; for tests. */
+    void openBy(ChannelFactory<Channel> factory) {
+        channels = factory;
+    }
+
     /**
      * Begins the watch, or ends it. One that is out ends quietly, and the new one goes over a connection of
      * its own: nothing but the want of an answer tells a dead connection from one with no news.
@@ -225,7 +237,14 @@
                 ask(connection);
                 return;
             }
-            bootstrap.connect(address).addListener((io.netty.channel.ChannelFuture up) -> {
+            ChannelFuture connect = bootstrap.connect(address);
+            if (connect.cause() instanceof ChannelException) {
+                // There is no socket, for want of a descriptor: nothing to close, and a future of no loop.
+                makeRoom.run();
+                loop.execute(this::fail);
+                return;
+            }
+            connect.addListener((ChannelFuture up) -> {
                 channel = up.channel();
                 if (over) {
                     channel.close();
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -84,7 +84,8 @@
         Sockets sockets = new Sockets(config.sockets());
         balancer = module.apply(this);
         upstreams = new UpstreamClient(loop, clock, config.settings(), sockets, memory);
-        discovery = new Discovery(loop, config, memory, this::told, Discovery.WATCH_MS);
+        discovery = new Discovery(loop, config, memory, this::told, () -> sockets.makeRoom(clock.now()),
+                Discovery.WATCH_MS);
         frontend = new Frontend(loop, config, sockets, memory, this);
     }
 
--- a/src/main/java/cranedeal/node/Sockets.java
+++ b/src/main/java/cranedeal/node/Sockets.java
@@ -60,6 +60,14 @@
         return open < limit;
     }
 
+    /** Closes idle connections where the descriptors have run out, although room was kept. */
+    void makeRoom(double now) {
+        boolean gone = true;
+        for (int i = 0; i < BATCH && gone; i++) {
+            gone = evict(now);
+        }
+    }
+
     /** Resting callers go first: to come back costs them less than a new connection costs an upstream. */
     private boolean evict(double now) {
         return evictCaller.test(now - RESTING_MS) || evictUpstream.getAsBoolean() || evictCaller.test(now);
--- a/src/test/java/cranedeal/node/DiscoveryTest.java
+++ b/src/test/java/cranedeal/node/DiscoveryTest.java
@@ -7,9 +7,11 @@
 import cranedeal.LatencyWeightedBalancer;
 import cranedeal.LoadBalancer.Change;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -231,10 +233,14 @@
         }
     }
 
-    /** A discovery's caller on its own, which tells what it is told, and by {@code LATE} that time is up. */
+    /**
+     * A discovery's caller on its own, which tells what it is told, by {@code LATE} that time is up and by
+     * {@code ROOM} that it wants descriptors freed.
+     */
     private static final class Lone implements AutoCloseable {
 
         private static final String LATE = "LATE";
+        private static final String ROOM = "ROOM";
 
         private final EventLoop loop =
                 (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
@@ -247,7 +253,7 @@
             try {
                 Files.writeString(file, stage.config().replace(stage.discovery.address(), address));
                 discovery = new Discovery(loop, NodeConfig.read(file.toString()), ByteBufAllocator.DEFAULT,
-                        (change, roster) -> told.add(change.name()), watchMillis);
+                        (change, roster) -> told.add(change.name()), () -> told.add(ROOM), watchMillis);
             } finally {
                 Files.delete(file);
             }
@@ -288,6 +294,26 @@
         }
     }
 
+    @Test
+    void aCallThatFindsNoDescriptorFailsMakesRoomAndCanBeMadeAgain() throws Exception {
+        try (stage; Lone lone = new Lone(stage, stage.discovery.address(), Discovery.WATCH_MS)) {
+            lone.discovery.openBy(() -> {
+                throw new ChannelException("made by a test");
+            });
+            for (int i = 0; i < 2; i++) {
+                lone.watch(TIME_UP_MS);
+                assertEquals(Lone.ROOM, Script.next(lone.told));
+                assertEquals("FAILED", Script.next(lone.told));
+            }
+            lone.loop.execute(() -> lone.discovery.openBy(NioSocketChannel::new));
+            lone.watch(TIME_UP_MS);
+            Peer watch = stage.discovery.accept();
+            assertWatches(41, watch);
+            watch.write(Stage.ok(Stage.roster(42, false)));
+            assertEquals("DELTA", Script.next(lone.told));
+        }
+    }
+
     @Test
     void anAnswerThatDribblesInWithoutEndIsAFailureOnceItsTimeIsOver() throws Exception {
         try (stage; Lone lone = new Lone(stage, stage.discovery.address(), 100)) {
