Look whether its client is still there before each attempt, past all that it sent

A request was looked after once, before it was first begun. Later its client's end was known only when the loop came to read it: - a request that the module had held, a further attempt or a second copy went out although the end lay in the kernel, for as long as the round of the loop at hand took or reading was paused: a client whose bytes are no request is not read from for up to 200 ms after each 4 MiB; - one whose connection to its upstream came up in that round was written, as the connection's readiness may be handled ahead of the client's end; - the look itself read once, and a read ends with the first buffer that it does not fill, so what was sent behind the request hid the end.

Now a caller's connection is read until the kernel holds no more, 16 MiB at most, before each send and before what waited for its connection is written. A pause of reading lasts 40 ms and has a timer of its own.

Evidence: the new tests, which do all of it within one round of the loop.

--- a/src/main/java/cranedeal/node/Exchange.java
+++ b/src/main/java/cranedeal/node/Exchange.java
@@ -19,6 +19,9 @@
          * when to come back, 0 for no advice.
          */
         void answer(HttpResponseStatus status, ByteBuf body, double retryAfter);
+
+        /** Whether the client has not left yet, by all that the kernel knows now; the node may lag behind. */
+        boolean waits();
     }
 
     final long id;
@@ -42,6 +45,11 @@
         return caller != null;
     }
 
+    /** Whether a client waits for an answer and has not left just now, which is yet to be told. */
+    boolean isAwaited() {
+        return caller != null && caller.waits();
+    }
+
     /** Answers unless that is done already or nobody waits any more; tells whether it did. */
     boolean answer(HttpResponseStatus status, ByteBuf body, double retryAfter) {
         Caller waiting = caller;
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -50,9 +50,13 @@
     /** Requests that a connection may send ahead of their turn, and the bytes that all of them may hold. */
     private static final int MAX_AHEAD = 16;
     private static final int MAX_AHEAD_BYTES = 8 * 1024 * 1024;
-    /** How much is read between two sweeps of what a caller sends that is no request, to see it leave. */
+    /** How much is read between two pauses of what a caller sends that is no request, to see it leave. */
     private static final int MAX_FLAWED_BYTES = 4 * 1024 * 1024;
+    /** More than a kernel holds unread for a connection. */
+    private static final int MAX_UNREAD_BYTES = 16 * 1024 * 1024;
     private static final long SWEEP_MS = 200;
+    /** How long a caller that sends much that is no request is not read from: its leaving lies behind it. */
+    private static final long PAUSE_MS = 40;
     /** A new caller's first request, and the rest of one that has begun, must be there after so long. */
     private static final double REQUEST_MS = 2_300;
     /** How long a connection may stay without a request, before its first one and between two. */
@@ -225,6 +229,8 @@
         private boolean closing;
         private int drained;
         private int flawed;
+        /** All bytes that came. */
+        private long received;
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -261,12 +267,26 @@
             closeIfIdle();
         }
 
+        /**
+         * Reads on until the kernel holds no more: whoever left did so behind all that it sent. One that
+         * sends without end is there. A request that is just being begun was looked after before.
+         */
+        @Override
+        public boolean waits() {
+            if (current != null && exchange == null) {
+                return channel.isOpen();
+            }
+            long first = received;
+            long before = -1;
+            while (channel.isOpen() && received > before && received - first < MAX_UNREAD_BYTES) {
+                before = received;
+                Sockets.readNow(channel);
+            }
+            return channel.isOpen();
+        }
+
         void sweep(double now) {
             double age = now - since;
-            if (flawed > MAX_FLAWED_BYTES) {
-                flawed = 0;
-                channel.config().setAutoRead(true);
-            }
             if (closing || unsent > 0) {
                 if (age > WRITE_MS) {
                     channel.close();
@@ -386,7 +406,9 @@
             if (flaw != null) {
                 flawed += bytes;
                 if (flawed > MAX_FLAWED_BYTES) {
+                    flawed = 0;
                     channel.config().setAutoRead(false);
+                    loop.schedule(() -> channel.config().setAutoRead(true), PAUSE_MS, TimeUnit.MILLISECONDS);
                 }
             }
             return flaw != null;
@@ -401,8 +423,7 @@
             try {
                 while (current == null && !closing && (flaw != null || !ahead.isEmpty())) {
                     // The client may have left while this waited for its turn, or to be let in at all.
-                    Sockets.readNow(channel);
-                    if (!channel.isOpen()) {
+                    if (!waits()) {
                         return;
                     }
                     Arrived next = ahead.pollFirst();
@@ -433,8 +454,7 @@
                 Connection first = open.get(template.txn());
                 if (first != null) {
                     // Its client may have left, and sent the request again here.
-                    Sockets.readNow(first.channel);
-                    if (!first.channel.isOpen()) {
+                    if (!first.waits()) {
                         // Its end is told later on, too late for the one that is here now.
                         first.abandon();
                     }
@@ -587,6 +607,7 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object bytes) throws Exception {
+            connection.received += ((ByteBuf) bytes).readableBytes();
             if (connection.drops(((ByteBuf) bytes).readableBytes())) {
                 ReferenceCountUtil.release(bytes);
                 return;
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -282,6 +282,14 @@
         }
     }
 
+    /** Whether a request is still worth an attempt: its client may have left with no word of it so far. */
+    private boolean isAwaited(Exchange exchange) {
+        if (exchange.isOpen() && !exchange.isAwaited()) {
+            clientGone(exchange);
+        }
+        return exchange.isOpen();
+    }
+
     private void finished(Exchange exchange, int number, long upstream, double sentAt, Result result,
             FullHttpResponse response) {
         exchange.running--;
@@ -317,15 +325,25 @@
         double now = clock.now();
         int number = exchange.sends++;
         exchange.running++;
-        if (!exchange.isOpen() || now >= exchange.deadline
+        if (!isAwaited(exchange) || now >= exchange.deadline
                 || number >= config.settings().limits().maxAttempts()) {
             exchange.attempts.add(null);
             finished(exchange, number, upstream, now, Result.NOT_SENT, null);
             return;
         }
         double until = timeout == 0 ? exchange.deadline : Math.min(exchange.deadline, now + timeout);
-        exchange.attempts.add(upstreams.send(upstream, exchange.request, until,
-                (result, response) -> finished(exchange, number, upstream, now, result, response)));
+        UpstreamClient.Listener listener = new UpstreamClient.Listener() {
+            @Override
+            public void finished(Result result, FullHttpResponse response) {
+                Node.this.finished(exchange, number, upstream, now, result, response);
+            }
+
+            @Override
+            public boolean awaits() {
+                return isAwaited(exchange);
+            }
+        };
+        exchange.attempts.add(upstreams.send(upstream, exchange.request, until, listener));
     }
 
     @Override
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -79,6 +79,11 @@
 
         /** Called once, when the attempt is over; the response, null if none came, is not to be kept. */
         void finished(Result result, FullHttpResponse response);
+
+        /** Whether the outcome is of use now; asked before what waited for its connection is written. */
+        default boolean awaits() {
+            return true;
+        }
     }
 
     private final EventLoop loop;
@@ -304,6 +309,8 @@
                 connect.addListener(up -> {
                     if (over) {
                         channel.close();
+                    } else if (up.isSuccess() && !listener.awaits()) {
+                        giveUp(Result.NOT_SENT);
                     } else if (up.isSuccess()) {
                         Connection connection = channel.pipeline().get(Connection.class);
                         connection.to = member;
--- a/src/test/java/cranedeal/node/FrontendTest.java
+++ b/src/test/java/cranedeal/node/FrontendTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cranedeal.LoadBalancer.Request;
+import cranedeal.LoadBalancer.Result;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
@@ -288,6 +290,27 @@
         }
     }
 
+    @ParameterizedTest
+    @CsvSource({"'', true", "ahead, false", "part, false", "flaw, false", "flaw, true"})
+    void aRequestWhoseClientLeftBehindMoreBeforeItWasLetInIsNotSentOn(String kind, boolean reset)
+            throws Exception {
+        try (Stage stage = new Stage().start()) {
+            onLoop(stage, () -> {
+                Peer left = Peer.to(stage.node.address());
+                left.write(Stage.get("left", "10") + behind(kind));
+                if (reset) {
+                    left.reset();
+                } else {
+                    left.close();
+                }
+            });
+            takenIn(stage);
+            Peer caller = stage.caller();
+            caller.write(Stage.get("stays", "10"));
+            assertEquals("stays", stage.upstreams.get(0).accept().read().header("X-Txn"));
+        }
+    }
+
     @Test
     void aRequestWhoseClientLeftBeforeItWasLetInIsNotSentOn() throws Exception {
         try (Stage stage = new Stage().start()) {
@@ -363,6 +386,74 @@
         }
     }
 
+    /** What a client sends behind its request before it leaves, which reading from it has to get past. */
+    private static String behind(String kind) {
+        return switch (kind) {
+            case "ahead" -> Stage.spend("ahead", "b".repeat(30_000));
+            case "part" -> "POST /credit-spend HTTP/1.1\r\nContent-Length: 60000\r\n\r\n"
+                    + "b".repeat(30_000);
+            case "flaw" -> "no request at all\r\n\r\n" + "x".repeat(30_000);
+            default -> "";
+        };
+    }
+
+    @ParameterizedTest
+    @CsvSource({"'', false", "'', true", "ahead, false", "part, false", "flaw, false"})
+    void anAttemptDoesNotBeginWhileItsClientsLeavingLiesUnread(String kind, boolean reset) throws Exception {
+        try (Stage stage = new Stage().start()) {
+            LinkedBlockingQueue<Request> held = new LinkedBlockingQueue<>();
+            stage.script.onRequest = held::add;
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("waits", "x"));
+            Request request = Script.next(held);
+            onLoop(stage, () -> {
+                caller.write(behind(kind));
+                if (reset) {
+                    caller.reset();
+                } else {
+                    caller.close();
+                }
+                // The module has found a server for it, in the same round of the loop.
+                stage.script.sendTo(0, request, 0);
+            });
+            assertEquals(Result.NOT_SENT, stage.script.result());
+            assertEquals(1, Script.next(stage.script.gone));
+            takenIn(stage);
+            assertEquals(0, stage.upstreams.get(0).waiting());
+            assertTrue(stage.script.gone.isEmpty());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aFurtherAttemptDoesNotBeginWhileItsClientsLeavingLiesUnread(boolean halfOnly) throws Exception {
+        try (Stage stage = new Stage(2).start()) {
+            Peer caller = stage.caller();
+            stage.script.onOpen = (actions, outcome) -> {
+                try {
+                    if (halfOnly) {
+                        // Who ends its sending has given its request up, as the protocol has it elsewhere.
+                        caller.socket.shutdownOutput();
+                    } else {
+                        caller.close();
+                    }
+                } catch (java.io.IOException e) {
+                    throw new java.io.UncheckedIOException(e);
+                }
+                actions.send(outcome.requestId(), stage.script.upstreams.get(1).id(), 0);
+            };
+            caller.write(Stage.get("again", "10"));
+            Peer first = stage.upstreams.get(0).accept();
+            first.read();
+            first.write("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+            assertEquals(Result.ERROR, stage.script.result());
+            assertEquals(Result.NOT_SENT, stage.script.result());
+            assertEquals(1, Script.next(stage.script.gone));
+            takenIn(stage);
+            assertEquals(0, stage.upstreams.get(1).waiting());
+        }
+    }
+
     @Test
     void twoNodesInOneProcessKeepTheirSettingsApart() throws Exception {
         try (Stage one = new Stage(); Stage other = new Stage()) {
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -701,6 +701,34 @@
         }
     }
 
+    @Test
+    void anAttemptWhoseConnectionComesUpDoesNotBeginWhileItsClientsLeavingLiesUnread() throws Exception {
+        try (Stage stage = new Stage(); Backlog full = new Backlog()) {
+            stage.connectTimeout = 15_000;
+            stage.script.onStart = () -> stage.script.actions.watch(true);
+            stage.start();
+            tell(stage, Stage.entry(9, full.address(), "up"));
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("1", "x"));
+            takenIn(stage);
+            Peer late = stage.node.onLoop((frontend, upstreams) -> {
+                try {
+                    // The node sees both only afterwards, and what came first is handled first.
+                    Peer up = full.acceptLast();
+                    caller.close();
+                    return up;
+                } catch (Exception e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            try (late) {
+                assertTrue(late.ended(), "the request was written for nobody");
+            }
+            assertEquals(Result.NOT_SENT, stage.script.result());
+            assertEquals(1, Script.next(stage.script.gone));
+        }
+    }
+
     @Test
     void anAttemptThatWaitsToConnectDoesNotBeginWhereItsUpstreamWasBefore() throws Exception {
         try (Stage stage = new Stage(); Backlog full = new Backlog()) {
