Let one look for a server stand for all requests of a class that are held

At fault are dispatch and timer in LatencyWeightedBalancer (lines 220 to 225 and the branch of HOLD_TIMER): each held request draws anew every 20 ms, each draw goes over all servers, twice when it finds none. The cost is held requests times servers, and a loop that falls behind holds still more.

Not ruled out: requests that waited unread in the kernel, whose time the node reckons from when it reads them.

Change: a class's held requests that find no server look again together, at its next look; whoever's own time to be held ends earlier is answered then. New requests draw at once as before.

Test: 200 requests held 0.3 ms apart have 133 different times to look within 20 ms without the change, at most 2 with it; one whose time is over sooner does not wait for them.

--- a/src/main/java/cranedeal/Call.java
+++ b/src/main/java/cranedeal/Call.java
@@ -42,6 +42,8 @@
     ArrayDeque<Call> line;
     /** Until when an attempt that was given up may still be running. */
     double restsUntil = Double.NEGATIVE_INFINITY;
+    /** Until when it is held for want of a server. */
+    double patientUntil;
     /** When an answer stops being worth its work. */
     double usefulEnd;
     int running;
--- a/src/main/java/cranedeal/ClassRecord.java
+++ b/src/main/java/cranedeal/ClassRecord.java
@@ -20,6 +20,8 @@
     /** Share of the work asked for that is refused at once, and when it was last moved. */
     double pressure;
     double feltAt;
+    /** When those of its requests that are held look for a server again. */
+    double looksAgainAt = Double.NEGATIVE_INFINITY;
     /** How many times the expected latency only the slowest calls take. */
     double slowRatio;
 
--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -216,6 +216,7 @@
         double latest = call.usefulEnd - TOO_LATE * expected(call) - ahead(call);
         double patient = Math.min(latest,
                 call.arrivedAt + HOLD_SHARE * (call.request.deadline() - call.arrivedAt));
+        call.patientUntil = patient;
         boolean itsTurn = call.line == null || call.line.peekFirst() == call;
         Server server = itsTurn && now < latest ? draw(call, true, now) : null;
         if (server != null) {
@@ -228,6 +229,23 @@
         }
     }
 
+    /**
+     * A request that is held looks for a server again. What kept one from all servers keeps its whole class
+     * from them, so one look stands for all of it: where hundreds are held, as when every server has just
+     * started, their draws would else take most of the processor's time, and answers would come too late.
+     */
+    private void lookAgain(Call call, double now) {
+        ClassRecord held = call.record;
+        if (now < Math.min(held.looksAgainAt, call.patientUntil)) {
+            actions.setTimer(call.id << 8 | HOLD_TIMER, Math.min(held.looksAgainAt, call.patientUntil));
+            return;
+        }
+        dispatch(call, now);
+        if (!call.done && call.attempts.isEmpty()) {
+            held.looksAgainAt = now + LOOK_AGAIN;
+        }
+    }
+
     /** Rule 5: the time that the requests before it in its line are expected to take. */
     private static double ahead(Call call) {
         return call.line == null ? 0 : call.line.stream().takeWhile(other -> other != call)
@@ -494,7 +512,7 @@
         if (call.done) {
             forgetIfSettled(call, now);
         } else if (number == HOLD_TIMER && call.attempts.isEmpty()) {
-            dispatch(call, now);
+            lookAgain(call, now);
         } else if (number >= STRAIN_TIMER && number < HOLD_TIMER) {
             // Overload is felt when a call becomes overdue: by the time it ends, a crowd has gathered.
             Attempt attempt = call.attempts.get(number - STRAIN_TIMER);
--- a/src/test/java/cranedeal/Bench.java
+++ b/src/test/java/cranedeal/Bench.java
@@ -114,6 +114,11 @@
         now = until;
     }
 
+    /** At how many different times timers are set to ring within the next ms. */
+    long timesAhead(double ms) {
+        return alarms.stream().mapToDouble(Alarm::at).filter(at -> at <= now + ms).distinct().count();
+    }
+
     Sent lastSend() {
         return sends.get(sends.size() - 1);
     }
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -1022,4 +1022,29 @@
         int sent = bench.sends.size();
         assertTrue(sent > 60 && sent < 0.2 * 3 * 400, sent + " sent");
     }
+
+    @Test
+    void oneLookForAServerStandsForAllOfAClassThatAreHeld() {
+        Bench bench = new Bench(Sites.plain().tier(1).build(), 4);
+        bench.list(Change.CACHED, Sites.server(1).startedAt(NOW), Sites.server(2).startedAt(NOW));
+        int requests = 200;
+        double apart = 0.3;
+        double deadline = bench.now + 10_000;
+        for (int i = 0; i < requests; i++) {
+            bench.request(i, 0, deadline, 0);
+            bench.advance(apart);
+        }
+        bench.advance(20);
+        int held = bench.open.size() - bench.sends.size();
+        assertTrue(held > requests / 2, held + " held");
+        // They came one after another; were each to look for itself, there would be a look every 0.3 ms.
+        long looks = bench.timesAhead(20);
+        assertTrue(looks <= 2, looks + " times to look within 20 ms");
+        // And none waits for the others' look when its own time to be held is over.
+        bench.request(requests, 0, bench.now + 35, 0);
+        bench.advance(35 * 0.45 + 0.001);
+        assertFalse(bench.isOpen(requests), "held for too long");
+        bench.advance(20);
+        assertEquals(held, bench.open.size() - bench.sends.size(), "still held");
+    }
 }
