--- a/src/main/java/cranedeal/ClassRecord.java
+++ b/src/main/java/cranedeal/ClassRecord.java
@@ -23,6 +23,8 @@
     /** Share served of the calls that were sent while little was refused, and when one last told of it. */
     double servedUnrefused = 1;
     double unrefusedAt;
+    /** When those of its requests that are held look for a server again. */
+    double looksAgainAt = Double.NEGATIVE_INFINITY;
     /** How many times the expected latency only the slowest calls take. */
     double slowRatio;
 
