Add a scale run of our own, out of reach of the program that serves

How costs grow with lists and fleets could only be guessed. Each point is one line of JSON with seed, parameters and machine.

--- a/src/main/java/cranedeal/node/NodeConfig.java
+++ b/src/main/java/cranedeal/node/NodeConfig.java
@@ -40,7 +40,7 @@
         }
     }
 
-    private static NodeConfig parse(JsonNode root) {
+    static NodeConfig parse(JsonNode root) {
         JsonNode given = root.path("settings");
         StringBuilder lines = new StringBuilder();
         flatten("", given, lines);
--- /dev/null
+++ b/src/main/java/cranedeal/scale/HollowFleet.java
@@ -0,0 +1,151 @@
+package cranedeal.scale;
+
+import cranedeal.LoadBalancer.Change;
+import cranedeal.node.HollowBalancer;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicLongArray;
+import java.util.function.IntPredicate;
+
+/** Many balancers without callers on a few loops, and what they have taken in. */
+final class HollowFleet implements AutoCloseable {
+
+    private static final long LOOK_MS = 5;
+
+    private final HollowBalancer.Template template;
+    private final long seed;
+    private final Propagation propagation;
+    private final List<EventLoop> loops = new ArrayList<>();
+    private final long[] threads;
+    private final MultiThreadIoEventLoopGroup group;
+    private final HollowBalancer[] balancers;
+    /** The version that each has; -1 for one that is stopped. */
+    private final AtomicLongArray versions;
+    private final AtomicLong failures = new AtomicLong();
+    private final AtomicLong lists = new AtomicLong();
+    private final AtomicLong deltas = new AtomicLong();
+
+    HollowFleet(HollowBalancer.Template template, int count, int loopCount, long seed,
+            Propagation propagation) {
+        this.template = template;
+        this.seed = seed;
+        this.propagation = propagation;
+        group = new MultiThreadIoEventLoopGroup(loopCount, new DefaultThreadFactory("hollow", true),
+                NioIoHandler.newFactory());
+        threads = new long[loopCount];
+        for (int i = 0; i < loopCount; i++) {
+            loops.add((EventLoop) group.next());
+            threads[i] = loops.get(i).submit(() -> Thread.currentThread().getId()).syncUninterruptibly()
+                    .getNow();
+        }
+        balancers = new HollowBalancer[count];
+        versions = new AtomicLongArray(count);
+        for (int i = 0; i < count; i++) {
+            versions.set(i, -1);
+        }
+    }
+
+    /** Starts those of the positions. */
+    void start(IntPredicate which) {
+        for (int i = 0; i < balancers.length; i++) {
+            if (which.test(i)) {
+                versions.set(i, 0);
+                balancers[i] = HollowBalancer.start(template, i, seed + i, loops.get(i % loops.size()),
+                        PooledByteBufAllocator.DEFAULT, this::taken);
+            }
+        }
+    }
+
+    /** Kills those of the positions. */
+    void stop(IntPredicate which) {
+        for (int i = 0; i < balancers.length; i++) {
+            if (which.test(i) && versions.getAndSet(i, -1) >= 0) {
+                balancers[i].stop();
+            }
+        }
+    }
+
+    private void taken(HollowBalancer balancer, Change change, long version) {
+        long now = System.nanoTime();
+        int position = balancer.position();
+        if (change == Change.FAILED) {
+            failures.incrementAndGet();
+            return;
+        }
+        long before = versions.get(position);
+        if (before < 0 || balancers[position] != balancer) {
+            return;
+        }
+        versions.set(position, version);
+        if (change == Change.FULL) {
+            lists.incrementAndGet();
+        } else if (version > before) {
+            deltas.incrementAndGet();
+        }
+        propagation.taken(before, version, now);
+    }
+
+    /** Waits until all have a version, for some time at most; how many don't. */
+    int await(long version, double seconds) throws InterruptedException {
+        long end = System.nanoTime() + (long) (seconds * 1e9);
+        int missing = missing(version);
+        while (missing > 0 && System.nanoTime() < end) {
+            TimeUnit.MILLISECONDS.sleep(LOOK_MS);
+            missing = missing(version);
+        }
+        return missing;
+    }
+
+    private int missing(long version) {
+        int missing = 0;
+        for (int i = 0; i < balancers.length; i++) {
+            long has = versions.get(i);
+            missing += has >= 0 && has < version ? 1 : 0;
+        }
+        return missing;
+    }
+
+    int running() {
+        int running = 0;
+        for (int i = 0; i < balancers.length; i++) {
+            running += versions.get(i) >= 0 ? 1 : 0;
+        }
+        return running;
+    }
+
+    /** Whole lists taken in so far; likewise changes, and calls that failed. */
+    long lists() {
+        return lists.get();
+    }
+
+    long deltas() {
+        return deltas.get();
+    }
+
+    long failures() {
+        return failures.get();
+    }
+
+    /** Processor time of their loops, in ns. */
+    long cpuNanos() {
+        long sum = 0;
+        for (long thread : threads) {
+            sum += ManagementFactory.getThreadMXBean().getThreadCpuTime(thread);
+        }
+        return sum;
+    }
+
+    @Override
+    public void close() {
+        stop(position -> true);
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+}
--- /dev/null
+++ b/src/main/java/cranedeal/scale/Point.java
@@ -0,0 +1,40 @@
+package cranedeal.scale;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.PrintStream;
+import java.util.Arrays;
+
+/** One measured point, printed as one line of JSON: how it was measured, on what machine, and what came. */
+final class Point {
+
+    static final JsonMapper JSON = new JsonMapper();
+
+    final ObjectNode parameters;
+    final ObjectNode results;
+    private final ObjectNode line = JSON.createObjectNode();
+
+    Point(String command, long seed) {
+        line.put("command", command);
+        line.put("seed", seed);
+        parameters = line.putObject("parameters");
+        Machine.describe(line.putObject("machine"));
+        results = line.putObject("results");
+    }
+
+    void print(PrintStream out) {
+        out.println(line);
+        out.flush();
+    }
+
+    /** Several measurements of one thing: the median, and how far they lie apart. */
+    static void spread(ObjectNode to, String name, double... values) {
+        double[] sorted = values.clone();
+        Arrays.sort(sorted);
+        ObjectNode spread = to.putObject(name);
+        spread.put("median", sorted[sorted.length / 2]);
+        spread.put("min", sorted[0]);
+        spread.put("max", sorted[sorted.length - 1]);
+        spread.put("of", sorted.length);
+    }
+}
