--- a/src/main/java/cranedeal/scale/CallsCommand.java
+++ b/src/main/java/cranedeal/scale/CallsCommand.java
@@ -25,6 +25,8 @@
     private static final int LONGEST_LIST = 20_000;
     private static final int MOST_REPEATS = 50;
     private static final int COUNTED_CALLS = 200;
+    /** For how long the node keeps an idle connection, by the limit that {@link Fleet} states. */
+    private static final double IDLE_MS = 21_000;
     private static final InetSocketAddress NOWHERE = new InetSocketAddress("127.0.0.1", 1);
 
     @Option(names = "--lists", split = ",", defaultValue = "10,30,100,300,1000,4000",
@@ -80,6 +82,7 @@
                 throw new java.io.UncheckedIOException(e);
             }
         });
+        point.results.put("reached", run.reached(IDLE_MS));
         point.results.put("list_bytes", body.length);
         return point;
     }
--- a/src/main/java/cranedeal/scale/ControlCommand.java
+++ b/src/main/java/cranedeal/scale/ControlCommand.java
@@ -271,15 +271,15 @@
                 .put("keeps_history", keepsHistory);
         ObjectNode results = point.results;
         double seconds = (System.nanoTime() - before.at()) / NANOS;
-        results.put("seconds", seconds);
+        results.put("seconds", Point.rounded(seconds));
         results.put("running", fleet.running());
         results.put("missing", missing);
         results.put("lists_taken", fleet.lists() - lists);
         results.put("deltas_taken", fleet.deltas() - deltas);
         results.put("calls_failed", fleet.failures() - failures);
         double cpu = (fleet.cpuNanos() - before.cpu()) / NANOS_PER_US;
-        results.put("cpu_us", cpu);
-        results.put("cpu_us_per_balancer", cpu / Math.max(1, fleet.running()));
+        results.put("cpu_us", Point.rounded(cpu));
+        results.put("cpu_us_per_balancer", Point.rounded(cpu / Math.max(1, fleet.running())));
         hollowTakings.write(results.putObject("taking_in"));
         traffic(results.putObject("discovery"), before.hollow(), DiscoveryStandIn.HOLLOW, seconds,
                 fleet.running());
@@ -290,7 +290,7 @@
             traffic(reals.putObject("discovery"), before.real(), DiscoveryStandIn.REAL, seconds, real);
         }
         if (heapBefore > 0) {
-            results.put("heap_kb_per_balancer", (heap() - heapBefore) / KB / balancers);
+            results.put("heap_kb_per_balancer", Point.rounded((heap() - heapBefore) / KB / balancers));
         }
         point.print(out);
     }
@@ -308,7 +308,7 @@
         return sum;
     }
 
-    /** Totals, the peak of a second, what one balancer has of it in a second, and each second of it. */
+    /** Totals, the peak of a second, what one balancer has of it in a second, and each second's of all. */
     private void traffic(ObjectNode to, Traffic.Copy before, int which, double seconds, int callers) {
         Traffic.Copy after = discovery.traffic(which);
         for (Kind kind : Kind.values()) {
@@ -316,8 +316,11 @@
             long total = after.total(kind) - before.total(kind);
             to.put(name, total);
             to.put(name + "_peak_a_second", after.peak(before, kind));
-            to.put(name + "_per_balancer_second", total / seconds / Math.max(1, callers));
-            if (kind == Kind.REQUESTS || kind == Kind.BYTES_OUT) {
+            if (kind == Kind.REQUESTS || kind == Kind.BYTES_IN || kind == Kind.BYTES_OUT) {
+                to.put(name + "_per_balancer_second",
+                        Point.rounded(total / seconds / Math.max(1, callers)));
+            }
+            if (which == DiscoveryStandIn.HOLLOW && (kind == Kind.REQUESTS || kind == Kind.BYTES_OUT)) {
                 ArrayNode each = to.putArray(name + "_each_second");
                 for (long second : after.since(before, kind)) {
                     each.add(second);
--- a/src/main/java/cranedeal/scale/Machine.java
+++ b/src/main/java/cranedeal/scale/Machine.java
@@ -47,7 +47,7 @@
         to.put("java", System.getProperty("java.vm.version"));
         List<String> flags = ManagementFactory.getRuntimeMXBean().getInputArguments();
         to.put("flags", String.join(" ", flags));
-        to.put("load", system.getSystemLoadAverage());
+        to.put("load", Point.rounded(system.getSystemLoadAverage()));
     }
 
     private static OperatingSystemMXBean system() {
--- a/src/main/java/cranedeal/scale/ModuleRun.java
+++ b/src/main/java/cranedeal/scale/ModuleRun.java
@@ -12,7 +12,9 @@
 import cranedeal.LoadBalancer.Upstream;
 import java.util.AbstractList;
 import java.util.ArrayDeque;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 /**
@@ -40,6 +42,8 @@
     private long lastId;
     private int flipped = -1;
     private long sends;
+    /** Where attempts went; null while nobody asks, as it would cost as much as a short list's call. */
+    private Set<Long> reached;
     private long timersSet;
 
     /** With calls at a rate a second, which decides how often evidence fades and how many are in flight. */
@@ -126,6 +130,17 @@
         balancer.upstreamsChanged(now, Change.FULL, list);
     }
 
+    /** The servers that calls of so many ms go to, each of which holds a connection by then. */
+    int reached(double millis) {
+        reached = new HashSet<>();
+        for (double end = now + millis; now < end; ) {
+            call();
+        }
+        int count = reached.size();
+        reached = null;
+        return count;
+    }
+
     long sends() {
         return sends;
     }
@@ -141,6 +156,9 @@
     @Override
     public void send(long requestId, long upstream, double timeout) {
         sends++;
+        if (reached != null) {
+            reached.add(upstream);
+        }
         double latency = LEAST_LATENCY_MS + LATENCY_SPREAD_MS * random.nextDouble();
         out.addLast(new Sent(requestId, upstream, now, now + latency));
     }
--- a/src/main/java/cranedeal/scale/Point.java
+++ b/src/main/java/cranedeal/scale/Point.java
@@ -10,6 +10,8 @@
 
     static final JsonMapper JSON = new JsonMapper();
 
+    private static final double THOUSAND = 1_000;
+
     final ObjectNode parameters;
     final ObjectNode results;
     private final ObjectNode line = JSON.createObjectNode();
@@ -27,14 +29,19 @@
         out.flush();
     }
 
+    /** To the thousandth, as more than that is never known. */
+    static double rounded(double value) {
+        return Math.rint(value * THOUSAND) / THOUSAND;
+    }
+
     /** Several measurements of one thing: the median, and how far they lie apart. */
     static void spread(ObjectNode to, String name, double... values) {
         double[] sorted = values.clone();
         Arrays.sort(sorted);
         ObjectNode spread = to.putObject(name);
-        spread.put("median", sorted[sorted.length / 2]);
-        spread.put("min", sorted[0]);
-        spread.put("max", sorted[sorted.length - 1]);
+        spread.put("median", rounded(sorted[sorted.length / 2]));
+        spread.put("min", rounded(sorted[0]));
+        spread.put("max", rounded(sorted[sorted.length - 1]));
         spread.put("of", sorted.length);
     }
 }
--- a/src/main/java/cranedeal/scale/Propagation.java
+++ b/src/main/java/cranedeal/scale/Propagation.java
@@ -48,9 +48,9 @@
     synchronized void write(ObjectNode to) {
         to.put("takings", histogram.getTotalCount());
         if (histogram.getTotalCount() > 0) {
-            to.put("median_ms", histogram.getValueAtPercentile(MEDIAN) / NANOS_PER_MS);
-            to.put("p99_ms", histogram.getValueAtPercentile(HIGH) / NANOS_PER_MS);
-            to.put("last_ms", histogram.getMaxValue() / NANOS_PER_MS);
+            to.put("median_ms", Point.rounded(histogram.getValueAtPercentile(MEDIAN) / NANOS_PER_MS));
+            to.put("p99_ms", Point.rounded(histogram.getValueAtPercentile(HIGH) / NANOS_PER_MS));
+            to.put("last_ms", Point.rounded(histogram.getMaxValue() / NANOS_PER_MS));
         }
     }
 }
