Measure what a watch that ends without news costs the module

An answer without news is handed to the module like one with news, and `upstreamsChanged` copies, filters and sorts the whole list for it. `calls` measures that alone now.

--- a/src/main/java/cranedeal/scale/CallsCommand.java
+++ b/src/main/java/cranedeal/scale/CallsCommand.java
@@ -13,7 +13,7 @@
 import picocli.CommandLine.Option;
 
 /**
- * Processor time, bytes allocated and operations of a call, of a change and of a whole list, against the
+ * Processor time, bytes allocated and operations of a call, of a change, of none and of a whole list, against the
  * length of the list: of the module alone, and of reading a list as the node does. Run it with the flags
  * of the deploy file's run, since the compiler that they choose decides much of it.
  */
@@ -74,6 +74,7 @@
         ModuleRun run = new ModuleRun(template.settings(), list, rate, seed);
         time(point, "call", run::call);
         time(point, "change", run::change);
+        time(point, "no_news", run::noNews);
         time(point, "list", run::whole);
         time(point, "parse", () -> {
             try {
--- a/src/main/java/cranedeal/scale/ModuleRun.java
+++ b/src/main/java/cranedeal/scale/ModuleRun.java
@@ -124,6 +124,12 @@
         }
     }
 
+    /** A watch ends without news. */
+    void noNews() {
+        now += gap;
+        balancer.upstreamsChanged(now, Change.DELTA, List.of());
+    }
+
     /** The whole list comes, as at a resync. */
     void whole() {
         now += gap;
--- a/src/test/java/cranedeal/scale/CommandLineTest.java
+++ b/src/test/java/cranedeal/scale/CommandLineTest.java
@@ -77,6 +77,16 @@
                 .formatted(seed, x, phase, y);
     }
 
+    @Test
+    void aBalancerThatDoesNotStartIsOneLineWithItsLastWords() {
+        try (DiscoveryStandIn discovery = new DiscoveryStandIn(Fleet.entries(1, 1),
+                new DiscoveryStandInTest.Deaf())) {
+            ScaleException e = assertThrows(ScaleException.class, () -> RealBalancer.start(2,
+                    "echo first; echo no such list; exit 3", discovery, 7, 1, 1));
+            assertEquals("a balancer ended with status 3: no such list", e.getMessage());
+        }
+    }
+
     @Test
     void aSlopeNeedsTwoSizes() {
         assertThrows(ScaleException.class, () -> FitCommand.describe(
