Say which balancer of a scale run ended and with what words, and time reach by itself

A figure of a balancer that has ended is now one plain line with its status and last words. A health answer may take 10 s instead of 1 s: at a load of 42 one run ended over that. Servers reached are counted in a module of their own, since in the one whose changes were timed the calls that were out had become late, and it refused some.

--- a/src/main/java/cranedeal/scale/CallsCommand.java
+++ b/src/main/java/cranedeal/scale/CallsCommand.java
@@ -13,9 +13,9 @@
 import picocli.CommandLine.Option;
 
 /**
- * Processor time, bytes allocated and operations of a call, of a change, of none and of a whole list, against the
- * length of the list: of the module alone, and of reading a list as the node does. Run it with the flags
- * of the deploy file's run, since the compiler that they choose decides much of it.
+ * Processor time, bytes allocated and operations of a call, of a change, of news that has none and of a
+ * whole list, against the length of the list: of the module alone, and of reading a list as the node does.
+ * Run it with the flags of the deploy file's run, since the compiler that they choose decides much of it.
  */
 @Command(name = "calls", description = "Measures a call, a change and a whole list against list length.",
         mixinStandardHelpOptions = true)
@@ -83,7 +83,9 @@
                 throw new java.io.UncheckedIOException(e);
             }
         });
-        point.results.put("reached", run.reached(IDLE_MS));
+        // Of its own: while changes were timed, the calls that were out have become late.
+        point.results.put("reached",
+                new ModuleRun(template.settings(), list, rate, seed).reached(IDLE_MS));
         point.results.put("list_bytes", body.length);
         return point;
     }
--- a/src/main/java/cranedeal/scale/ProcessesCommand.java
+++ b/src/main/java/cranedeal/scale/ProcessesCommand.java
@@ -89,7 +89,7 @@
             for (int wanted : connections) {
                 for (RealBalancer balancer : balancers) {
                     for (int i = open.size() / count; i < wanted; i++) {
-                        open.add(balancer.health());
+                        open.add(connect(balancer, i));
                     }
                 }
                 if (wanted > 0) {
@@ -97,9 +97,7 @@
                 }
             }
             for (RealBalancer balancer : balancers) {
-                if (!balancer.isAlive()) {
-                    throw new ScaleException("a balancer ended with a list of " + length);
-                }
+                balancer.checkAlive();
             }
         } finally {
             for (Socket socket : open) {
@@ -111,6 +109,15 @@
         return point;
     }
 
+    private static Socket connect(RealBalancer balancer, int open) {
+        try {
+            return balancer.health();
+        } catch (IOException e) {
+            throw new ScaleException("a balancer with " + open + " connections took no further one: "
+                    + e.getMessage());
+        }
+    }
+
     /** Has everybody take in the whole list; the time in ms until the last asks on from it. */
     private double resync(DiscoveryStandIn discovery, Acknowledgements acknowledged)
             throws InterruptedException {
--- a/src/main/java/cranedeal/scale/RealBalancer.java
+++ b/src/main/java/cranedeal/scale/RealBalancer.java
@@ -30,7 +30,7 @@
     private static final Set<Process> RUNNING = ConcurrentHashMap.newKeySet();
     private static final long LOOK_MS = 10;
     private static final int CONNECT_MS = 200;
-    private static final int ANSWER_MS = 1_000;
+    private static final int ANSWER_MS = 10_000;
     private static final double NANOS_PER_MS = 1e6;
     private static final double MS_PER_TICK = 10;
     /** Places of the processor time in user mode and in the system, counted after the program's name. */
@@ -101,11 +101,9 @@
             return true;
         }
         double millis = (System.nanoTime() - startedAt) / NANOS_PER_MS;
-        if (!process.isAlive() || millis > READY_SECONDS * 1_000) {
-            List<String> lines = Files.readAllLines(log);
-            throw new ScaleException("a balancer " + (process.isAlive() ? "is not ready after "
-                    + READY_SECONDS + " s" : "ended with status " + process.exitValue()) + ": "
-                    + (lines.isEmpty() ? "no word of it" : lines.get(lines.size() - 1)));
+        checkAlive();
+        if (millis > READY_SECONDS * 1_000) {
+            throw new ScaleException("a balancer is not ready after " + READY_SECONDS + " s: " + lastWords());
         }
         try (Socket socket = health()) {
             readyMillis = (System.nanoTime() - startedAt) / NANOS_PER_MS;
@@ -116,6 +114,19 @@
         }
     }
 
+    /** One that has ended by itself ends the scale run. */
+    void checkAlive() throws IOException {
+        if (!process.isAlive()) {
+            throw new ScaleException("a balancer ended with status " + process.exitValue() + ": "
+                    + lastWords());
+        }
+    }
+
+    private String lastWords() throws IOException {
+        List<String> lines = Files.readAllLines(log);
+        return lines.isEmpty() ? "no word of it" : lines.get(lines.size() - 1);
+    }
+
     /** A connection on which the balancer has answered that it is well; it is the caller's to close. */
     Socket health() throws IOException {
         Socket socket = new Socket();
@@ -147,6 +158,7 @@
 
     /** Processor time so far, in steps of 10 ms. */
     double cpuMillis() throws IOException {
+        checkAlive();
         String stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
         String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
         return (Long.parseLong(fields[USER]) + Long.parseLong(fields[SYSTEM])) * MS_PER_TICK;
@@ -154,15 +166,12 @@
 
     /** A figure of the system's in KB: VmRSS is held now, VmHWM was the most, RssAnon is nobody else's. */
     double memoryKb(String name) throws IOException {
+        checkAlive();
         return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
                 .filter(line -> line.startsWith(name + ":")).findFirst()
                 .map(line -> Double.parseDouble(line.replaceAll("[^0-9]", ""))).orElse(Double.NaN);
     }
 
-    boolean isAlive() {
-        return process.isAlive();
-    }
-
     @Override
     public void close() {
         process.destroyForcibly();
