--- a/src/main/java/cranedeal/node/HollowBalancer.java
+++ b/src/main/java/cranedeal/node/HollowBalancer.java
@@ -1,6 +1,5 @@
 package cranedeal.node;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import cranedeal.LatencyWeightedBalancer;
 import cranedeal.LoadBalancer;
 import cranedeal.LoadBalancer.Change;
@@ -8,6 +7,9 @@
 import cranedeal.LoadBalancer.Upstream;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.EventLoop;
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -39,8 +41,9 @@
         /** Reads a configuration; throws {@link IllegalArgumentException} where {@code serve} refuses it. */
         public static Template parse(String json) {
             try {
-                return new Template(NodeConfig.parse(NodeConfig.JSON.readTree(json)));
-            } catch (JsonProcessingException e) {
+                return new Template(NodeConfig.parse(
+                        Json.read(new ByteArrayInputStream(json.getBytes(StandardCharsets.UTF_8)))));
+            } catch (IOException e) {
                 throw new IllegalArgumentException(e.getMessage().lines().findFirst().orElse(""), e);
             }
         }
@@ -51,8 +54,8 @@
         }
 
         /** Reads a list as a balancer does: the bytes into a tree, the tree into entries. */
-        public List<Upstream> list(byte[] body) throws java.io.IOException {
-            return entries(Roster.parse(NodeConfig.JSON.readTree(body), config.zones(), config.kinds()));
+        public List<Upstream> list(byte[] body) throws IOException {
+            return entries(Roster.parse(Json.read(new ByteArrayInputStream(body)), config.zones(), config.kinds()));
         }
 
         private NodeConfig at(int position, long seed) {
@@ -83,7 +86,7 @@
         this.loop = loop;
         this.listener = listener;
         config = template.at(position, seed);
-        discovery = new Discovery(loop, config, memory, this::told, Discovery.WATCH_MS);
+        discovery = new Discovery(loop, config, memory, this::told, () -> { }, Discovery.WATCH_MS);
     }
 
     /** Starts one on a loop; its watch begins as that of {@link Node} does. */
