Keep some of a client's time to tell it how its request ended

Cause, found by reading: the time that the module is told is all that the client waits (RequestCheck line 160). Where a late answer is worth something an attempt's time-out ends there too (LatencyWeightedBalancer.request, usefulEnd), so a call at an upstream that hangs is answered as failed at that moment at the earliest, and reaches its client after it. How many are late decides whether the rule breaks. Change: 40 ms of it, a tenth at most, are kept for the answer; what is told to upstreams shrinks with it. The test fails without it in all its three cases.

--- a/src/main/java/cranedeal/node/RequestCheck.java
+++ b/src/main/java/cranedeal/node/RequestCheck.java
@@ -28,6 +28,12 @@
 final class RequestCheck {
 
     private static final int MS = 1_000;
+    /**
+     * Ms, and most of a client's time, that are kept to tell it how its request ended: an answer that says so
+     * only when the time is up is none. Answers of a busy balancer have left some 40 ms late.
+     */
+    private static final double ANSWER_MS = 40;
+    private static final double ANSWER_SHARE = 0.1;
     /** An id or a key: it goes on as it came, so it must be plain. */
     private static final Pattern TOKEN = Pattern.compile("[!-~]{1,128}");
     private static final Pattern TARGET = Pattern.compile("/[!-~]{0,2047}");
@@ -157,10 +163,14 @@
         double estimate = number(headers, "X-Estimate");
         // No client of this class waits longer, whatever it says; what is kept for it must not stay either.
         return new Template(txn, place, tenantIndex, key(single(headers, "Cookie")),
-                now + Math.min(type.deadline(), remaining * MS), Double.isNaN(estimate) ? 0 : estimate / MS,
+                now + beforeEnd(Math.min(type.deadline(), remaining * MS)), Double.isNaN(estimate) ? 0 : estimate / MS,
                 "1".equals(single(headers, "X-Resent")), !get);
     }
 
+    private static double beforeEnd(double time) {
+        return time - Math.min(ANSWER_MS, ANSWER_SHARE * time);
+    }
+
     private static String firstPart(String uri) {
         String[] parts = uri.split("[/?]", 3);
         return parts.length > 1 ? parts[1] : "";
--- a/src/test/java/cranedeal/node/FrontendTest.java
+++ b/src/test/java/cranedeal/node/FrontendTest.java
@@ -456,6 +456,24 @@
         }
     }
 
+    @ParameterizedTest
+    @CsvSource({"1,960", "0.2,180", "100,19960"})
+    void aRequestsTimeEndsEarlyEnoughToTellItsClient(String remaining, double atMost) throws Exception {
+        try (Stage stage = new Stage()) {
+            LinkedBlockingQueue<Double> left = new LinkedBlockingQueue<>();
+            stage.script.onRequest = request -> {
+                left.add(request.deadline() - stage.node.now());
+                stage.script.actions.refuse(request.id(), 0);
+            };
+            stage.start();
+            Peer caller = stage.caller();
+            caller.write(Stage.get("1", remaining));
+            assertEquals(503, caller.read().status());
+            double told = Script.next(left);
+            assertTrue(told <= atMost, told + " ms");
+        }
+    }
+
     @Test
     void twoNodesInOneProcessKeepTheirSettingsApart() throws Exception {
         try (Stage one = new Stage(); Stage other = new Stage()) {
