--- a/src/main/java/cranedeal/node/HollowBalancer.java
+++ b/src/main/java/cranedeal/node/HollowBalancer.java
@@ -55,7 +55,8 @@
 
         /** Reads a list as a balancer does: the bytes into a tree, the tree into entries. */
         public List<Upstream> list(byte[] body) throws IOException {
-            return entries(Roster.parse(Json.read(new ByteArrayInputStream(body)), config.zones(), config.kinds()));
+            return entries(Roster.parse(Json.read(new ByteArrayInputStream(body)), config.zones(),
+                    config.kinds()));
         }
 
         private NodeConfig at(int position, long seed) {
--- a/src/main/java/cranedeal/node/RequestCheck.java
+++ b/src/main/java/cranedeal/node/RequestCheck.java
@@ -163,8 +163,8 @@
         double estimate = number(headers, "X-Estimate");
         // No client of this class waits longer, whatever it says; what is kept for it must not stay either.
         return new Template(txn, place, tenantIndex, key(single(headers, "Cookie")),
-                now + beforeEnd(Math.min(type.deadline(), remaining * MS)), Double.isNaN(estimate) ? 0 : estimate / MS,
-                "1".equals(single(headers, "X-Resent")), !get);
+                now + beforeEnd(Math.min(type.deadline(), remaining * MS)),
+                Double.isNaN(estimate) ? 0 : estimate / MS, "1".equals(single(headers, "X-Resent")), !get);
     }
 
     private static double beforeEnd(double time) {
--- a/src/test/java/cranedeal/OverloadTest.java
+++ b/src/test/java/cranedeal/OverloadTest.java
@@ -165,7 +165,7 @@
     void callsThatAreLateWithoutACrowdAreNotTakenForOne() {
         for (long seed = 1; seed <= SEEDS; seed++) {
             double served = servedWithoutACrowd(seed);
-            // Without any refusal it would be 0.83; with all signs of overload taken at their word 0.2 at most.
+            // Without any refusal it would be 0.83; with every sign of overload believed 0.2 at most.
             assertTrue(served > 0.3, served + " served at seed " + seed);
         }
     }
