Remove the files of a scale run also when it is broken off

Two runs that were ended before their time (--limit, SIGTERM) left the configurations of their real balancers in the folder for temporary files; their processes had ended.

--- a/src/main/java/cranedeal/scale/RealBalancer.java
+++ b/src/main/java/cranedeal/scale/RealBalancer.java
@@ -56,6 +56,8 @@
         }
         config = Files.createTempFile("balancer", ".json");
         log = Files.createTempFile("balancer", ".log");
+        config.toFile().deleteOnExit();
+        log.toFile().deleteOnExit();
         Files.writeString(config, Fleet.config(listen, discovery.address(DiscoveryStandIn.REAL), seed,
                 siblings, tier, zones));
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run);
