Wait for a late answer of discovery after a failure too, as asking again adds to its load

Cause: with each call in the log 14 of 14 balancers never heard of the draining server. Discovery serves calls in turn: all of them together kept its queue longer than 1 s, and every call given up stayed in it. Ruled out: the wait of 0 itself, which is answered at once where there is room, and the back-off, which stayed as it was. Change: such a call has the longest wait of a watch and 1 s, as the others; so have calls for the whole list. A call that hangs is found after 3 s, and asked again within 2 s more, so news is there within the 6 s.

--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -148,13 +148,16 @@
      * Asks for what is newer. Where news is pushed, what the agent has counts as told from the start on, so
      * the first watch does not wait: its answer tells how old the known list is, also that it is not. Nor
      * does the one after a failure: news counts as told 6 s after discovery had it and could be reached, and
-     * several calls that fail in a row would each take their whole wait of that before they show it.
+     * several calls that fail in a row would each take their whole wait of that before they show it. It is
+     * waited for as long as for any other, though: a discovery that many ask at once answers late, and whoever
+     * gives up early and asks again adds to what it has to do and gets nothing.
      */
     private void watchOn() {
         int wait = !failed && (heard || config.settings().subscribe())
                 ? random.nextInt(watchMillis / SHORTEST_PART, watchMillis + 1) : 0;
-        watch = version == UNTOLD ? new Call("", LATE_MS, this::watched)
-                : new Call("?index=" + version + "&wait=" + wait, wait + LATE_MS, this::watched);
+        int patience = (failed ? watchMillis : wait) + LATE_MS;
+        watch = version == UNTOLD ? new Call("", watchMillis + LATE_MS, this::watched)
+                : new Call("?index=" + version + "&wait=" + wait, patience, this::watched);
         watch.start(kept);
     }
 
@@ -173,7 +176,7 @@
 
     /** Asks once for the whole list. */
     void fetch() {
-        Call call = new Call("", LATE_MS, null);
+        Call call = new Call("", watchMillis + LATE_MS, null);
         call.end = roster -> fetched(call, roster);
         call.start(null);
     }
