--- a/src/test/java/cranedeal/node/DiscoveryTest.java
+++ b/src/test/java/cranedeal/node/DiscoveryTest.java
@@ -286,6 +286,25 @@
         }
     }
 
+    @Test
+    void aCallAfterAFailureIsWaitedForWhereDiscoveryIsSlow() throws Exception {
+        try (stage; Lone lone = new Lone(stage, stage.discovery.address(), 20_000)) {
+            lone.watch(TIME_UP_MS);
+            Peer refused = stage.discovery.accept();
+            refused.read();
+            refused.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+            assertEquals("FAILED", Script.next(lone.told));
+            lone.watch(1_500);
+            Peer slow = stage.discovery.accept();
+            slow.read();
+            // Many others are served first; to give up now and ask again would only add to them.
+            assertEquals(Lone.LATE, Script.next(lone.told));
+            String entry = Stage.entry(0, stage.upstreams.get(0).address(), "up");
+            slow.write(Stage.ok(Stage.roster(42, true, entry)));
+            assertEquals("FULL", Script.next(lone.told));
+        }
+    }
+
     @Test
     void aConnectionToDiscoveryThatNeverComesUpIsAFailureAfterASecond() throws Exception {
         try (stage; Backlog full = new Backlog();
