--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -149,7 +149,7 @@
      * the first watch does not wait: its answer tells how old the known list is, also that it is not. Nor
      * does the one after a failure: news counts as told 6 s after discovery had it and could be reached, and
      * several calls that fail in a row would each take their whole wait of that before they show it. It is
-     * waited for as long as for any other, though: a discovery that many ask at once answers late, and whoever
+     * waited for as long as any other, though: a discovery that many ask at once answers late, and whoever
      * gives up early and asks again adds to what it has to do and gets nothing.
      */
     private void watchOn() {
