Reckon a request's time from when it may have come, not from when it is read

A balancer's time for a request began when its loop read it. Lines at fault: the arrival of a whole request in Frontend.Connection.complete, taken from the clock at the time of reading.

EventLoopMonitor wraps the loop's I/O handler and bounds how long what is read may have been waiting: since the selector returned before, or since it was called where it then blocked. A request that comes with its connection may have been waiting as long as that. The same class counts iterations by their duration, and the log has one line in 5 s where one took over 100 ms.

--- /dev/null
+++ b/src/main/java/cranedeal/node/EventLoopMonitor.java
@@ -0,0 +1,192 @@
+package cranedeal.node;
+
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.IoRegistration;
+import java.util.Arrays;
+import java.util.function.LongSupplier;
+
+/**
+ * Watches how late an event loop is. An event that becomes ready while the loop is busy waits, unread, until
+ * the next call to the selector; this class bounds that wait and counts iterations by their duration. It is
+ * used on the thread of its event loop only.
+ */
+final class EventLoopMonitor {
+
+    private static final long NANOS_PER_MS = 1_000_000;
+    /** A call to the selector that took longer than this had nothing to return when it began. */
+    private static final long BLOCKED_NANOS = NANOS_PER_MS;
+    private static final int PERCENT = 100;
+
+    /**
+     * Durations of iterations since the last report, in ms.
+     *
+     * @param p50 an upper bound of the median, one less than a power of two; likewise {@code p99}
+     * @param max the longest
+     */
+    record Report(long iterations, long p50, long p99, long max) { }
+
+    private final LongSupplier nanoTime;
+    /** Iterations since the last report by the number of bits of their duration in ms. */
+    private final long[] counts = new long[Long.SIZE + 1];
+    private long longestMillis;
+    private boolean started;
+    private long iteration;
+    private long selectCalledAt;
+    private long selectedAt;
+    /** When the selector returned before the present iteration. */
+    private long selectedBefore;
+
+    /** {@code nanoTime} is a monotonic clock like {@link System#nanoTime()}. */
+    EventLoopMonitor(LongSupplier nanoTime) {
+        this.nanoTime = nanoTime;
+        selectedAt = nanoTime.getAsLong();
+        selectedBefore = selectedAt;
+        selectCalledAt = selectedAt;
+    }
+
+    /** Makes handlers that work as those of {@code handlers} do and report to this monitor. */
+    IoHandlerFactory watch(IoHandlerFactory handlers) {
+        return executor -> new WatchedHandler(handlers.newHandler(executor));
+    }
+
+    /** The number of the present iteration. */
+    long iteration() {
+        return iteration;
+    }
+
+    /**
+     * The longest time, in ms up to now, for which an event that is handled now may have been waiting. An
+     * event that was ready when the selector returned before this iteration would have been handled then,
+     * and one that was ready when the selector was called would not have let it block.
+     */
+    double longestWaitMillis() {
+        boolean blocked = selectedAt - selectCalledAt > BLOCKED_NANOS;
+        long earliest = blocked ? selectCalledAt : selectedBefore;
+        return (double) (nanoTime.getAsLong() - earliest) / NANOS_PER_MS;
+    }
+
+    /** The iterations since the last report; forgets them. */
+    Report report() {
+        long total = 0;
+        for (long count : counts) {
+            total += count;
+        }
+        Report report = new Report(total, percentile(50, total), percentile(99, total), longestMillis);
+        Arrays.fill(counts, 0);
+        longestMillis = 0;
+        return report;
+    }
+
+    private long percentile(int percent, long total) {
+        long below = 0;
+        for (int bits = 0; bits < counts.length; bits++) {
+            below += counts[bits];
+            if (below * PERCENT >= total * percent) {
+                return (1L << bits) - 1;
+            }
+        }
+        return Long.MAX_VALUE;
+    }
+
+    /** The loop is about to call the selector: the present iteration ends. */
+    private void beforeSelect() {
+        long now = nanoTime.getAsLong();
+        if (started) {
+            long millis = (now - selectedAt) / NANOS_PER_MS;
+            counts[Long.SIZE - Long.numberOfLeadingZeros(millis)]++;
+            longestMillis = Math.max(longestMillis, millis);
+        }
+        started = true;
+        selectCalledAt = now;
+    }
+
+    /** The selector has returned: an iteration begins. */
+    private void afterSelect() {
+        iteration++;
+        selectedBefore = selectedAt;
+        selectedAt = nanoTime.getAsLong();
+    }
+
+    /** Passes everything on, and tells the monitor when the loop calls the selector and when that returns. */
+    private final class WatchedHandler implements IoHandler {
+
+        private final IoHandler handler;
+        private final WatchedContext watched = new WatchedContext();
+
+        WatchedHandler(IoHandler handler) {
+            this.handler = handler;
+        }
+
+        @Override
+        public void initialize() {
+            handler.initialize();
+        }
+
+        @Override
+        public int run(IoHandlerContext context) {
+            watched.context = context;
+            beforeSelect();
+            return handler.run(watched);
+        }
+
+        @Override
+        public void prepareToDestroy() {
+            handler.prepareToDestroy();
+        }
+
+        @Override
+        public void destroy() {
+            handler.destroy();
+        }
+
+        @Override
+        public IoRegistration register(IoHandle handle) throws Exception {
+            return handler.register(handle);
+        }
+
+        @Override
+        public void wakeup() {
+            handler.wakeup();
+        }
+
+        @Override
+        public boolean isCompatible(Class<? extends IoHandle> handleType) {
+            return handler.isCompatible(handleType);
+        }
+    }
+
+    /** Netty asks whether to measure the time of handlers right after each return of the selector. */
+    private final class WatchedContext implements IoHandlerContext {
+
+        private IoHandlerContext context;
+
+        @Override
+        public boolean canBlock() {
+            return context.canBlock();
+        }
+
+        @Override
+        public long delayNanos(long now) {
+            return context.delayNanos(now);
+        }
+
+        @Override
+        public long deadlineNanos() {
+            return context.deadlineNanos();
+        }
+
+        @Override
+        public void reportActiveIoTime(long activeNanos) {
+            context.reportActiveIoTime(activeNanos);
+        }
+
+        @Override
+        public boolean shouldReportActiveIoTime() {
+            afterSelect();
+            return context.shouldReportActiveIoTime();
+        }
+    }
+}
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -73,6 +73,7 @@
     private final Sockets sockets;
     private final ByteBufAllocator memory;
     private final Node node;
+    private final EventLoopMonitor monitor;
     private final RequestCheck check;
     /** Every caller's connection, in the order in which they came or last became idle. */
     private final Set<Connection> connections = new LinkedHashSet<>();
@@ -84,12 +85,14 @@
     /** Bytes of the requests that wait behind others, over all connections. */
     private int aheadBytes;
 
-    Frontend(EventLoop loop, NodeConfig config, Sockets sockets, ByteBufAllocator memory, Node node) {
+    Frontend(EventLoop loop, NodeConfig config, Sockets sockets, ByteBufAllocator memory, Node node,
+            EventLoopMonitor monitor) {
         this.loop = loop;
         this.config = config;
         this.sockets = sockets;
         this.memory = memory;
         this.node = node;
+        this.monitor = monitor;
         check = new RequestCheck(config);
         sockets.callersGiveWay(this::evictIdle);
     }
@@ -202,6 +205,11 @@
         }
     }
 
+    /** The earliest time at which what is read now may have come. */
+    private double earliestArrival() {
+        return node.now() - monitor.longestWaitMillis();
+    }
+
     /** A whole request and when it came: its time runs while it waits for its turn. */
     private record Arrived(FullHttpRequest request, double at) { }
 
@@ -220,6 +228,9 @@
         private FullHttpRequest current;
         private Exchange exchange;
         private String txn;
+        /** When it may have come, and in which iteration of the loop it was let in. */
+        private final double earliestAccept = earliestArrival();
+        private final long acceptedIn = monitor.iteration();
         /** When it came, had its last answer, or began the request that is coming in. */
         private double since = node.now();
         private boolean served;
@@ -375,7 +386,7 @@
         private void complete() throws BadRequestException {
             aheadBytes += body.readableBytes();
             ahead.addLast(new Arrived(new DefaultFullHttpRequest(head.protocolVersion(), head.method(),
-                    head.uri(), body, head.headers(), EmptyHttpHeaders.INSTANCE), node.now()));
+                    head.uri(), body, head.headers(), EmptyHttpHeaders.INSTANCE), arrival()));
             head = null;
             body = null;
             if (ahead.size() > MAX_AHEAD || current != null && aheadBytes > MAX_AHEAD_BYTES) {
@@ -386,6 +397,16 @@
             }
         }
 
+        /**
+         * When the bytes that are read now may have come, at the earliest: a request's time runs from there,
+         * and on a busy loop it may have been waiting for long. What is read as soon as a connection can be
+         * may have come with the connection.
+         */
+        private double arrival() {
+            boolean atOnce = monitor.iteration() - acceptedIn <= 1;
+            return atOnce ? earliestAccept : earliestArrival();
+        }
+
         /** Begins what came only now: of a crowd sent at once, none is to be served. */
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -54,9 +54,13 @@
     private static final double LAST_ANSWERS_MS = 1_650;
     /** How long a start waits for discovery's first answer: it comes at once or, in an outage, much later. */
     static final long FIRST_NEWS_MS = 500;
+    /** How often the log tells how late the loop was, if one of its iterations was longer than this. */
+    private static final long LATENESS_REPORT_MS = 5_000;
+    private static final long LATE_MS = 100;
 
     private final NodeConfig config;
     private final EventLoop loop;
+    private final EventLoopMonitor monitor;
     private final Clock clock = new Clock();
     private final LoadBalancer balancer;
     private final UpstreamClient upstreams;
@@ -74,9 +78,11 @@
     /** Something to tell the module, and the request that it is about or null. */
     private record Event(Exchange about, Runnable call) { }
 
-    private Node(NodeConfig config, EventLoop loop, Function<LoadBalancer.Actions, LoadBalancer> module) {
+    private Node(NodeConfig config, EventLoop loop, EventLoopMonitor monitor,
+            Function<LoadBalancer.Actions, LoadBalancer> module) {
         this.config = config;
         this.loop = loop;
+        this.monitor = monitor;
         // Written by the loop and, of a reload, by one more thread: a count may be off, which does no harm.
         LOG.setFilter(new LogLimit(clock::now));
         PooledByteBufAllocator memory = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER, CACHED,
@@ -86,7 +92,7 @@
         upstreams = new UpstreamClient(loop, clock, config.settings(), sockets, memory);
         discovery = new Discovery(loop, config, memory, this::told, () -> sockets.makeRoom(clock.now()),
                 Discovery.WATCH_MS);
-        frontend = new Frontend(loop, config, sockets, memory, this);
+        frontend = new Frontend(loop, config, sockets, memory, this, monitor);
     }
 
     static Node prepare(NodeConfig config) throws InterruptedException {
@@ -100,9 +106,10 @@
      */
     static Node prepare(NodeConfig config, Function<LoadBalancer.Actions, LoadBalancer> module,
             long firstNewsMillis) throws InterruptedException {
+        EventLoopMonitor monitor = new EventLoopMonitor(System::nanoTime);
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
-                new DefaultThreadFactory("node", true), NioIoHandler.newFactory()).next();
-        Node node = new Node(config, loop, module);
+                new DefaultThreadFactory("node", true), monitor.watch(NioIoHandler.newFactory())).next();
+        Node node = new Node(config, loop, monitor, module);
         loop.submit(node::begin).sync();
         if (!config.settings().subscribe()
                 && !node.untold.await(firstNewsMillis, TimeUnit.MILLISECONDS)) {
@@ -121,6 +128,8 @@
     private void begin() {
         Roster known = new Roster(config.known().version(), true, config.known().members());
         upstreams.update(known);
+        loop.scheduleAtFixedRate(this::reportLateness, LATENESS_REPORT_MS, LATENESS_REPORT_MS,
+                TimeUnit.MILLISECONDS);
         tell(null, () -> balancer.start(clock.now(), config.settings(), config.seed()));
         tell(null, () -> balancer.upstreamsChanged(clock.now(), Change.CACHED, entries(known)));
         if (!config.settings().subscribe()) {
@@ -135,6 +144,15 @@
         return entries;
     }
 
+    private void reportLateness() {
+        EventLoopMonitor.Report report = monitor.report();
+        if (report.max() > LATE_MS) {
+            LOG.info("the event loop was late: its " + report.iterations() + " iterations took up to "
+                    + report.p50() + " ms in the median, " + report.p99() + " ms in 99 of 100 and "
+                    + report.max() + " ms at most");
+        }
+    }
+
     /** Where it listens. */
     InetSocketAddress address() {
         return frontend.address();
--- /dev/null
+++ b/src/test/java/cranedeal/node/EventLoopMonitorTest.java
@@ -0,0 +1,109 @@
+package cranedeal.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoRegistration;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Bounds of waits and the durations of iterations, on a clock that the test moves. */
+class EventLoopMonitorTest {
+
+    private long now = TimeUnit.SECONDS.toNanos(7);
+    private final EventLoopMonitor monitor = new EventLoopMonitor(() -> now);
+    private long selectMillis;
+    private final IoHandler handler = monitor.watch(executor -> new Selecting()).newHandler(null);
+
+    private void pass(long millis) {
+        now += TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    /** Calls the selector, which returns after {@code select} ms, and handles events for {@code work} ms. */
+    private void iterate(long select, long work) {
+        selectMillis = select;
+        handler.run(new Context());
+        pass(work);
+    }
+
+    @Test
+    void anEventMayHaveComeRightAfterTheSelectorReturnedBefore() {
+        iterate(10, 0);
+        pass(300);
+        iterate(0, 0);
+        assertEquals(300, monitor.longestWaitMillis());
+        pass(40);
+        assertEquals(340, monitor.longestWaitMillis());
+        iterate(0, 0);
+        assertEquals(40, monitor.longestWaitMillis());
+    }
+
+    @Test
+    void nothingWasReadyWhenASelectorThatBlockedWasCalled() {
+        iterate(0, 300);
+        iterate(25, 0);
+        assertEquals(25, monitor.longestWaitMillis());
+        pass(5);
+        assertEquals(30, monitor.longestWaitMillis());
+    }
+
+    @Test
+    void aReportCountsIterationsByTheirDurationOnce() {
+        for (int i = 0; i < 90; i++) {
+            iterate(20, 3);
+        }
+        for (int i = 0; i < 10; i++) {
+            iterate(0, 100);
+        }
+        iterate(0, 0);
+        EventLoopMonitor.Report report = monitor.report();
+        assertEquals(new EventLoopMonitor.Report(100, 3, 127, 100), report);
+        iterate(0, 0);
+        assertEquals(new EventLoopMonitor.Report(1, 0, 0, 0), monitor.report());
+    }
+
+    /** As the handlers of Netty: asks whether to measure the time as soon as the selector has returned. */
+    private final class Selecting implements IoHandler {
+
+        @Override
+        public int run(IoHandlerContext context) {
+            pass(selectMillis);
+            return context.shouldReportActiveIoTime() ? 1 : 0;
+        }
+
+        @Override
+        public IoRegistration register(IoHandle handle) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void wakeup() {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public boolean isCompatible(Class<? extends IoHandle> handleType) {
+            return true;
+        }
+    }
+
+    private static final class Context implements IoHandlerContext {
+
+        @Override
+        public boolean canBlock() {
+            return true;
+        }
+
+        @Override
+        public long delayNanos(long now) {
+            return 0;
+        }
+
+        @Override
+        public long deadlineNanos() {
+            return 0;
+        }
+    }
+}
