Take in discovery's news ahead of other events, and reckon its age on a busy loop

Events are handled in the order in which the kernel has them: on a busy loop news of a server that leaves waits behind a batch of requests, each of which may go to that server, and the grace that is left to attempts that wait for their connection began only when the news was read. Ruled out: draws by the old list after the news (ready is rebuilt at once), connections dialled a second time (they look at toldOff). Lines at fault: Node.tell, which looks at nothing but the event it is given, and UpstreamClient.update, which took the time of reading for the time of the news.

Before each decision, and before what waited for its connection is written, Node now reads discovery's connection, at most every 10 ms. News counts as told from the last such look, or since when it may have been waiting.

LateLoopTest forces both orders; both cases fail without the change. The lists of entries that Node and HollowBalancer each made are Roster's now.

--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -77,6 +77,8 @@
     /** The watch's connection, kept from call to call, and its call that is out. */
     private Channel kept;
     private Call watch;
+    /** Whether bytes that came are being handled: a channel must not be read while it is read. */
+    private boolean taking;
 
     /** {@code makeRoom} frees descriptors; it is called where there is none for a connection. */
     Discovery(EventLoop loop, NodeConfig config, ByteBufAllocator memory, Listener listener,
@@ -174,6 +176,13 @@
         }
     }
 
+    /** Takes in at once what the kernel holds of the watch's answer. Does nothing while one is taken in. */
+    void poll() {
+        if (!taking && watch != null && watch.channel != null) {
+            Sockets.readNow(watch.channel);
+        }
+    }
+
     /** Asks once for the whole list. */
     void fetch() {
         Call call = new Call("", watchMillis + LATE_MS, null);
@@ -318,7 +327,7 @@
     }
 
     /** Hands what comes on a connection to the call that waits for it. */
-    private static final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
 
         private Call asked;
 
@@ -330,7 +339,12 @@
                 ctx.close();
             }
             if (call != null) {
-                call.answered(response);
+                taking = true;
+                try {
+                    call.answered(response);
+                } finally {
+                    taking = false;
+                }
             }
         }
 
--- a/src/main/java/cranedeal/node/HollowBalancer.java
+++ b/src/main/java/cranedeal/node/HollowBalancer.java
@@ -11,7 +11,6 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -55,8 +54,8 @@
 
         /** Reads a list as a balancer does: the bytes into a tree, the tree into entries. */
         public List<Upstream> list(byte[] body) throws IOException {
-            return entries(Roster.parse(Json.read(new ByteArrayInputStream(body)), config.zones(),
-                    config.kinds()));
+            return Roster.parse(Json.read(new ByteArrayInputStream(body)), config.zones(), config.kinds())
+                    .upstreams();
         }
 
         private NodeConfig at(int position, long seed) {
@@ -113,20 +112,14 @@
 
     private void begin() {
         event(() -> balancer.start(clock.now(), config.settings(), config.seed()));
-        event(() -> balancer.upstreamsChanged(clock.now(), Change.CACHED, entries(config.known())));
+        event(() -> balancer.upstreamsChanged(clock.now(), Change.CACHED, config.known().upstreams()));
         if (!config.settings().subscribe()) {
             watch(true);
         }
     }
 
-    private static List<Upstream> entries(Roster roster) {
-        List<Upstream> entries = new ArrayList<>(roster.members().size());
-        roster.members().forEach(member -> entries.add(member.upstream()));
-        return entries;
-    }
-
     private void told(Change change, Roster roster) {
-        List<Upstream> entries = roster == null ? List.of() : entries(roster);
+        List<Upstream> entries = roster == null ? List.of() : roster.upstreams();
         event(() -> balancer.upstreamsChanged(clock.now(), change, entries));
         listener.taken(this, change, roster == null ? -1 : roster.version());
     }
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -22,7 +22,6 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -57,6 +56,8 @@
     /** How often the log tells how late the loop was, if one of its iterations was longer than this. */
     private static final long LATENESS_REPORT_MS = 5_000;
     private static final long LATE_MS = 100;
+    /** How long an answer of discovery may lie unread while the loop is busy with other events. */
+    private static final double DISCOVERY_POLL_MS = 10;
 
     private final NodeConfig config;
     private final EventLoop loop;
@@ -72,6 +73,8 @@
     private final CountDownLatch untold = new CountDownLatch(1);
     private long lastId;
     private boolean deciding;
+    /** When discovery's connection was last looked at beside the loop's own order. */
+    private double discoveryPolledAt = Double.NEGATIVE_INFINITY;
     /** The request that the module's present call is about, if it is about one. */
     private Exchange subject;
 
@@ -127,23 +130,17 @@
 
     private void begin() {
         Roster known = new Roster(config.known().version(), true, config.known().members());
-        upstreams.update(known);
+        upstreams.update(known, clock.now());
         loop.scheduleAtFixedRate(this::reportLateness, LATENESS_REPORT_MS, LATENESS_REPORT_MS,
                 TimeUnit.MILLISECONDS);
         tell(null, () -> balancer.start(clock.now(), config.settings(), config.seed()));
-        tell(null, () -> balancer.upstreamsChanged(clock.now(), Change.CACHED, entries(known)));
+        tell(null, () -> balancer.upstreamsChanged(clock.now(), Change.CACHED, known.upstreams()));
         if (!config.settings().subscribe()) {
             // Where news comes to a module unasked, it still has to be fetched over the socket.
             watch(true);
         }
     }
 
-    private static List<Upstream> entries(Roster roster) {
-        List<Upstream> entries = new ArrayList<>(roster.members().size());
-        roster.members().forEach(member -> entries.add(member.upstream()));
-        return entries;
-    }
-
     private void reportLateness() {
         EventLoopMonitor.Report report = monitor.report();
         if (report.max() > LATE_MS) {
@@ -216,6 +213,9 @@
      * refused; it waits here until the module has returned from the call in which it acted.
      */
     private void tell(Exchange about, Runnable call) {
+        if (!deciding) {
+            pollDiscovery();
+        }
         events.add(new Event(about, call));
         if (deciding) {
             return;
@@ -236,6 +236,23 @@
         }
     }
 
+    /**
+     * Takes in what discovery has written, ahead of other events that the loop has still to handle: on a
+     * busy loop these may take longer than the grace of a drain, and no decision may rest on the old list.
+     */
+    private void pollDiscovery() {
+        double now = clock.now();
+        if (now - discoveryPolledAt >= DISCOVERY_POLL_MS) {
+            discovery.poll();
+            discoveryPolledAt = now;
+        }
+    }
+
+    /** From when on an answer of discovery that is read now counts as told: it may have been lying unread. */
+    private double toldSince() {
+        return Math.max(discoveryPolledAt, clock.now() - monitor.longestWaitMillis());
+    }
+
     /** A call of the module broke off: what it was about fails, as nobody knows what has run. */
     private void broken(Exchange about, Throwable cause) {
         LOG.log(Level.SEVERE, "the decision module failed", cause);
@@ -254,9 +271,9 @@
 
     /** Takes in news; throws if the module did not take the list, which then has to be asked for anew. */
     private void told(Change change, Roster roster) {
-        List<Upstream> entries = roster == null ? List.of() : entries(roster);
+        List<Upstream> entries = roster == null ? List.of() : roster.upstreams();
         if (roster != null) {
-            upstreams.update(roster);
+            upstreams.update(roster, toldSince());
         }
         boolean[] taken = new boolean[1];
         tell(null, () -> {
@@ -358,6 +375,7 @@
 
             @Override
             public boolean awaits() {
+                pollDiscovery();
                 return isAwaited(exchange);
             }
         };
--- a/src/main/java/cranedeal/node/Roster.java
+++ b/src/main/java/cranedeal/node/Roster.java
@@ -18,6 +18,11 @@
     /** An upstream as the module knows it, and where it listens. */
     record Member(Upstream upstream, InetSocketAddress address) { }
 
+    /** The entries as the decision module takes them. */
+    List<Upstream> upstreams() {
+        return members.stream().map(Member::upstream).toList();
+    }
+
     /**
      * Reads a list; throws {@link IllegalArgumentException} if any part of it is amiss, since half a list
      * would drop upstreams that are well.
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -155,14 +155,16 @@
         }
     }
 
-    /** Takes in a list; what an upstream that left or drains still holds idle is of no more use. */
-    void update(Roster roster) {
-        double now = clock.now();
+    /**
+     * Takes in a list that counts as told since a time; what an upstream that left or drains still holds idle
+     * is of no more use.
+     */
+    void update(Roster roster, double toldSince) {
         Map<Long, Target> left = new HashMap<>(roster.full() ? targets : Map.of());
         for (Member member : roster.members()) {
             left.remove(member.upstream().id());
             if (member.upstream().state() == State.REMOVED) {
-                remove(targets.get(member.upstream().id()), now);
+                remove(targets.get(member.upstream().id()), toldSince);
                 continue;
             }
             Target target = targets.computeIfAbsent(member.upstream().id(), id -> new Target());
@@ -175,22 +177,22 @@
             if (member.upstream().state() == State.READY) {
                 target.toldOff = Double.NaN;
             } else {
-                tellOff(target, now);
+                tellOff(target, toldSince);
             }
         }
-        left.values().forEach(target -> remove(target, now));
+        left.values().forEach(target -> remove(target, toldSince));
     }
 
-    private static void remove(Target target, double now) {
-        tellOff(target, now);
+    private static void remove(Target target, double toldSince) {
+        tellOff(target, toldSince);
         if (target != null) {
             target.gone = true;
         }
     }
 
-    private static void tellOff(Target target, double now) {
+    private static void tellOff(Target target, double toldSince) {
         if (target != null && Double.isNaN(target.toldOff)) {
-            target.toldOff = now;
+            target.toldOff = toldSince;
             target.closeIdle();
         }
     }
--- a/src/test/java/cranedeal/node/LateLoopTest.java
+++ b/src/test/java/cranedeal/node/LateLoopTest.java
@@ -1,8 +1,11 @@
 package cranedeal.node;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cranedeal.LoadBalancer.Change;
 import cranedeal.LoadBalancer.Request;
+import cranedeal.LoadBalancer.Result;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -35,6 +38,16 @@
         });
     }
 
+    /** Starts a node with a watch that its discovery has yet to answer. */
+    private static Peer startWatching(Stage stage) throws Exception {
+        stage.script.onStart = () -> stage.script.actions.watch(true);
+        stage.start();
+        assertEquals(Change.CACHED, Script.next(stage.script.changes));
+        Peer watch = stage.discovery.accept();
+        watch.read();
+        return watch;
+    }
+
     private static Peer healthyCaller(Stage stage) throws Exception {
         Peer caller = stage.caller();
         caller.write("GET /_health HTTP/1.1\r\n\r\n");
@@ -42,6 +55,27 @@
         return caller;
     }
 
+    @Test
+    void newsOfDiscoveryIsTakenInAheadOfRequestsThatCameBeforeIt() throws Exception {
+        try (Stage stage = new Stage(2)) {
+            Peer watch = startWatching(stage);
+            Peer caller = healthyCaller(stage);
+            LinkedBlockingQueue<Integer> newsAtRequest = new LinkedBlockingQueue<>();
+            stage.script.onRequest = request -> {
+                newsAtRequest.add(stage.script.changes.size());
+                stage.script.sendTo(1, request, 0);
+            };
+            keepBusy(stage, () -> {
+                caller.write(Stage.get("1", "10"));
+                watch.write(Stage.ok(Stage.roster(42, false,
+                        Stage.entry(0, stage.upstreams.get(0).address(), "draining"))));
+                // Longer than the node lets pass between two looks at discovery.
+                TimeUnit.MILLISECONDS.sleep(LATE_MS);
+            });
+            assertEquals(1, Script.next(newsAtRequest), "the request was decided on by the old list");
+        }
+    }
+
     @Test
     void aRequestsTimeRunsWhileItLiesUnread() throws Exception {
         try (Stage stage = new Stage().start()) {
@@ -77,4 +111,29 @@
                     deadline - writtenAt[0] + " ms from when it was written");
         }
     }
+
+    @Test
+    void theGraceOfADrainRunsWhileItsNewsLiesUnread() throws Exception {
+        try (Stage stage = new Stage(); Backlog full = new Backlog()) {
+            stage.connectTimeout = 15_000;
+            // Half of it is left to what waits for its connection, and the news lies unread for longer.
+            stage.drainGrace = LATE_MS;
+            Peer watch = startWatching(stage);
+            watch.write(Stage.ok(Stage.roster(42, true, Stage.entry(9, full.address(), "up"))));
+            assertEquals(Change.FULL, Script.next(stage.script.changes));
+            watch.read();
+            Peer caller = healthyCaller(stage);
+            caller.write(Stage.spend("1", "x"));
+            healthyCaller(stage);
+            Peer[] late = new Peer[1];
+            keepBusy(stage, () -> {
+                watch.write(Stage.ok(Stage.roster(43, false, Stage.entry(9, full.address(), "draining"))));
+                late[0] = full.acceptLast();
+                TimeUnit.MILLISECONDS.sleep(LATE_MS);
+            });
+            assertTrue(late[0].ended(), "the request was written after the grace");
+            assertEquals(Result.CONNECT_FAILED, stage.script.result());
+            late[0].close();
+        }
+    }
 }
