Keep as much of a request's time to tell its client as the event loop is late

One request in 500 may be without an answer when its time is up; the program kept 40 ms of that time for its answer, whatever its own lateness. Lines at fault: RequestCheck.beforeEnd. The part of the time that is kept is now the longest iteration of the last second or two, at most a quarter of the time; the constants for a loop that is not late stay as they were.

LateLoopTest.aLoopThatIsLateKeepsMoreOfARequestsTimeToTellItsClient makes the loop 300 ms late on purpose and fails without the change, by the 260 ms that it lacks.

--- a/src/main/java/cranedeal/node/EventLoopMonitor.java
+++ b/src/main/java/cranedeal/node/EventLoopMonitor.java
@@ -19,6 +19,8 @@
     /** A call to the selector that took longer than this had nothing to return when it began. */
     private static final long BLOCKED_NANOS = NANOS_PER_MS;
     private static final int PERCENT = 100;
+    /** The longest iteration counts as recent for this long, and for as long again. */
+    private static final long RECENT_NANOS = 1_000 * NANOS_PER_MS;
 
     /**
      * Durations of iterations since the last report, in ms.
@@ -32,6 +34,10 @@
     /** Iterations since the last report by the number of bits of their duration in ms. */
     private final long[] counts = new long[Long.SIZE + 1];
     private long longestMillis;
+    /** The longest iterations since the present window began, and in the one before, in ns. */
+    private long longestInWindow;
+    private long longestInWindowBefore;
+    private long windowBegan;
     private boolean started;
     private long iteration;
     private long selectCalledAt;
@@ -45,6 +51,7 @@
         selectedAt = nanoTime.getAsLong();
         selectedBefore = selectedAt;
         selectCalledAt = selectedAt;
+        windowBegan = selectedAt;
     }
 
     /** Makes handlers that work as those of {@code handlers} do and report to this monitor. */
@@ -68,6 +75,11 @@
         return (double) (nanoTime.getAsLong() - earliest) / NANOS_PER_MS;
     }
 
+    /** The longest iteration of the last second or two, in ms: a timer that is set now may be so late. */
+    double recentLatenessMillis() {
+        return (double) Math.max(longestInWindow, longestInWindowBefore) / NANOS_PER_MS;
+    }
+
     /** The iterations since the last report; forgets them. */
     Report report() {
         long total = 0;
@@ -95,14 +107,24 @@
     private void beforeSelect() {
         long now = nanoTime.getAsLong();
         if (started) {
-            long millis = (now - selectedAt) / NANOS_PER_MS;
-            counts[Long.SIZE - Long.numberOfLeadingZeros(millis)]++;
-            longestMillis = Math.max(longestMillis, millis);
+            count(now - selectedAt, now);
         }
         started = true;
         selectCalledAt = now;
     }
 
+    private void count(long nanos, long now) {
+        long millis = nanos / NANOS_PER_MS;
+        counts[Long.SIZE - Long.numberOfLeadingZeros(millis)]++;
+        longestMillis = Math.max(longestMillis, millis);
+        if (now - windowBegan >= RECENT_NANOS) {
+            longestInWindowBefore = now - windowBegan < 2 * RECENT_NANOS ? longestInWindow : 0;
+            longestInWindow = 0;
+            windowBegan = now;
+        }
+        longestInWindow = Math.max(longestInWindow, nanos);
+    }
+
     /** The selector has returned: an iteration begins. */
     private void afterSelect() {
         iteration++;
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -471,7 +471,7 @@
                 return;
             }
             try {
-                Template template = check.read(request, arrivedAt);
+                Template template = check.read(request, arrivedAt, monitor.recentLatenessMillis());
                 Connection first = open.get(template.txn());
                 if (first != null) {
                     // Its client may have left, and sent the request again here.
--- a/src/main/java/cranedeal/node/RequestCheck.java
+++ b/src/main/java/cranedeal/node/RequestCheck.java
@@ -30,10 +30,12 @@
     private static final int MS = 1_000;
     /**
      * Ms, and most of a client's time, that are kept to tell it how its request ended: an answer that says so
-     * only when the time is up is none. Answers of a busy balancer have left some 40 ms late.
+     * only when the time is up is none. Answers of a busy balancer have left some 40 ms late. Where its event
+     * loop is later than that, so are its answers, and a larger part of the time may be kept.
      */
     private static final double ANSWER_MS = 40;
     private static final double ANSWER_SHARE = 0.1;
+    private static final double LATE_ANSWER_SHARE = 0.25;
     /** An id or a key: it goes on as it came, so it must be plain. */
     private static final Pattern TOKEN = Pattern.compile("[!-~]{1,128}");
     private static final Pattern TARGET = Pattern.compile("/[!-~]{0,2047}");
@@ -124,8 +126,8 @@
         return new BadRequestException(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
     }
 
-    /** Reads a whole request that came at the given time. */
-    Template read(FullHttpRequest request, double now) throws BadRequestException {
+    /** Reads a whole request that came at a time; {@code lateness} is that of the event loop, in ms. */
+    Template read(FullHttpRequest request, double arrivedAt, double lateness) throws BadRequestException {
         if (!TARGET.matcher(request.uri()).matches()) {
             throw new BadRequestException("the target is no path");
         }
@@ -163,12 +165,13 @@
         double estimate = number(headers, "X-Estimate");
         // No client of this class waits longer, whatever it says; what is kept for it must not stay either.
         return new Template(txn, place, tenantIndex, key(single(headers, "Cookie")),
-                now + beforeEnd(Math.min(type.deadline(), remaining * MS)),
+                arrivedAt + beforeEnd(Math.min(type.deadline(), remaining * MS), lateness),
                 Double.isNaN(estimate) ? 0 : estimate / MS, "1".equals(single(headers, "X-Resent")), !get);
     }
 
-    private static double beforeEnd(double time) {
-        return time - Math.min(ANSWER_MS, ANSWER_SHARE * time);
+    private static double beforeEnd(double time, double lateness) {
+        double usual = Math.min(ANSWER_MS, ANSWER_SHARE * time);
+        return time - Math.max(usual, Math.min(lateness, LATE_ANSWER_SHARE * time));
     }
 
     private static String firstPart(String uri) {
--- a/src/test/java/cranedeal/node/EventLoopMonitorTest.java
+++ b/src/test/java/cranedeal/node/EventLoopMonitorTest.java
@@ -49,6 +49,23 @@
         assertEquals(30, monitor.longestWaitMillis());
     }
 
+    @Test
+    void theLongestIterationIsRecentForASecondOrTwo() {
+        iterate(10, 300);
+        iterate(10, 5);
+        assertEquals(300, monitor.recentLatenessMillis());
+        iterate(600, 5);
+        iterate(600, 5);
+        iterate(0, 5);
+        assertEquals(300, monitor.recentLatenessMillis());
+        iterate(1_000, 7);
+        iterate(0, 5);
+        assertEquals(7, monitor.recentLatenessMillis());
+        iterate(5_000, 3);
+        iterate(0, 0);
+        assertEquals(3, monitor.recentLatenessMillis());
+    }
+
     @Test
     void aReportCountsIterationsByTheirDurationOnce() {
         for (int i = 0; i < 90; i++) {
--- a/src/test/java/cranedeal/node/LateLoopTest.java
+++ b/src/test/java/cranedeal/node/LateLoopTest.java
@@ -6,10 +6,18 @@
 import cranedeal.LoadBalancer.Change;
 import cranedeal.LoadBalancer.Request;
 import cranedeal.LoadBalancer.Result;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.ByteArrayInputStream;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * A balancer whose loop is busy while events gather in the kernel. The test keeps the loop busy itself, and
@@ -112,6 +120,34 @@
         }
     }
 
+    @Test
+    void aLoopThatIsLateKeepsMoreOfARequestsTimeToTellItsClient() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = healthyCaller(stage);
+            LinkedBlockingQueue<Request> requests = new LinkedBlockingQueue<>();
+            stage.script.onRequest = requests::add;
+            keepBusy(stage, () -> TimeUnit.MILLISECONDS.sleep(LATE_MS));
+            caller.write(Stage.get("1", "2"));
+            double written = stage.node.now();
+            double kept = written + 2_000 - Script.next(requests).deadline();
+            assertTrue(kept >= LATE_MS - CLOCKS_MS, kept + " ms");
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1, 0, 960", "1, 40, 960", "2, 300, 1700", "0.4, 300, 300", "0.2, 10, 180", "0.2, 30, 170"})
+    void howeverLateALoopIsMostOfARequestsTimeIsLeft(String remaining, double lateness, double left)
+            throws Exception {
+        try (Stage stage = new Stage()) {
+            RequestCheck check = new RequestCheck(NodeConfig.parse(Json.read(
+                    new ByteArrayInputStream(stage.config().getBytes(StandardCharsets.UTF_8)))));
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                    "/look-up/7");
+            request.headers().set("X-Txn", "1").set("X-Lane", "look-up").set("X-Remaining", remaining);
+            assertEquals(left, check.read(request, 0, lateness).deadline());
+        }
+    }
+
     @Test
     void theGraceOfADrainRunsWhileItsNewsLiesUnread() throws Exception {
         try (Stage stage = new Stage(); Backlog full = new Backlog()) {
