--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -5,7 +5,6 @@
 import cranedeal.LoadBalancer.State;
 import cranedeal.node.Roster.Member;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -21,19 +20,14 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.AsciiString;
-import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.math.BigDecimal;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -62,8 +56,6 @@
      * as told from when discovery had it, and finds the next call to it up to half of the grace later.
      */
     private static final double GRACE_SHARE = 0.5;
-    /** How each answer begins. */
-    private static final byte[] BEGINNING = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
     /** An answer that has begun must go on after so long at most, and be whole after this many times that. */
     private static final long STALL_MS = 300;
     private static final int MOST_STALLS = 5;
@@ -72,15 +64,6 @@
      * and nothing in it tells that it isn't the next request's. While none is at work it gives itself away.
      */
     private static final double SETTLE_MS = 20;
-    /**
-     * A connection is dialled once more after so many times the usual time to come up, within these bounds,
-     * the upper one a part of the connect time-out: one lost or late handshake would else cost all of it.
-     */
-    private static final double DIAL_AGAIN = 4;
-    private static final double LEAST_DIAL_MS = 10;
-    private static final double MOST_DIAL_SHARE = 0.25;
-    /** Step of the estimate of that usual time, a median, relative to its value. */
-    private static final double DIAL_STEP = 0.1;
     /** Most answers of the kind 1xx that may come ahead of one. */
     private static final int MOST_AHEAD = 16;
 
@@ -104,8 +87,7 @@
     private final Map<Long, Target> targets = new HashMap<>();
     private Freshness freshness;
     private double settleMillis = SETTLE_MS;
-    /** Ms in which half of the connections come up. */
-    private double usualDial;
+    private final ConnectTimeEstimate connectTime;
     /** Connections that are not up yet. */
     private int dialling;
 
@@ -115,7 +97,7 @@
         this.settings = settings;
         this.sockets = sockets;
         trustYoung(Freshness.YOUNG_MS);
-        usualDial = settings.limits().connectTimeout() * MOST_DIAL_SHARE / DIAL_AGAIN;
+        connectTime = new ConnectTimeEstimate(settings.limits().connectTimeout());
         int connectTimeout = (int) Math.max(1, settings.limits().connectTimeout());
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, memory).option(ChannelOption.TCP_NODELAY, true)
@@ -259,19 +241,9 @@
         settleMillis = millis;
     }
 
-    /** Takes it that connections come up in so many ms; for tests. */
-    void usualDial(double millis) {
-        usualDial = millis;
-    }
-
-    private void cameUp(double millis) {
-        usualDial *= 1 + (millis > usualDial ? DIAL_STEP : -DIAL_STEP);
-    }
-
-    /** How long to wait for a connection before it is dialled once more. */
-    private double dialAgainAfter() {
-        double most = settings.limits().connectTimeout() * MOST_DIAL_SHARE;
-        return Math.min(most, Math.max(LEAST_DIAL_MS, DIAL_AGAIN * usualDial));
+    /** How long connections take to come up, for tests. */
+    ConnectTimeEstimate connectTime() {
+        return connectTime;
     }
 
     /** Takes it that a connection broke under a request after such a rest; for tests. */
@@ -341,7 +313,7 @@
                     end(Result.NOT_SENT, null);
                     return;
                 }
-                long wait = (long) (dialAgainAfter() * 1_000);
+                long wait = (long) (connectTime.retryAfter() * 1_000);
                 loop.schedule(this::dialAgain, wait, TimeUnit.MICROSECONDS);
             }
         }
@@ -368,7 +340,7 @@
             connect.addListener(up -> {
                 dialling--;
                 if (up.isSuccess()) {
-                    cameUp(clock.now() - dialledAt);
+                    connectTime.observe(clock.now() - dialledAt);
                     Connection connection = opened.pipeline().get(Connection.class);
                     connection.to = member;
                     if (!Double.isNaN(begunAt)) {
@@ -518,68 +490,12 @@
         return BigDecimal.valueOf((long) millis, MILLI).toPlainString();
     }
 
-    /**
-     * Looks at the bytes ahead of the decoder. That keeps part of a line unseen, so bytes that no request
-     * waits for could lie there and be taken for the start of the next answer.
-     */
-    private static final class Decoder extends HttpResponseDecoder {
-
-        private final Connection connection;
-        /** How much of the beginning of an answer has come. */
-        private int matched;
-
-        Decoder(Connection connection) {
-            this.connection = connection;
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
-            if (connection.carried == null || !begins((ByteBuf) message)) {
-                ReferenceCountUtil.release(message);
-                connection.spoilt();
-                return;
-            }
-            connection.bytesCame();
-            super.channelRead(ctx, message);
-        }
-
-        /** Whether this may be part of an answer: noise without a line's end would else wait for more. */
-        private boolean begins(ByteBuf bytes) {
-            int at = bytes.readerIndex();
-            while (matched < BEGINNING.length && at < bytes.writerIndex()) {
-                if (bytes.getByte(at++) != BEGINNING[matched++]) {
-                    return false;
-                }
-            }
-            return true;
-        }
-
-        /** Whether bytes have come that belong to no message so far. */
-        boolean holdsMore() {
-            return actualReadableBytes() > 0;
-        }
-
-        /** Netty would take a line of words without a colon for a header with no value. */
-        @Override
-        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
-            if (line[start + length] != ':') {
-                throw new IllegalArgumentException("a header without a colon");
-            }
-            return super.splitHeaderName(line, start, length);
-        }
-
-        /** Netty would drop the length of a message that has both framings, and go on. */
-        @Override
-        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-            throw new IllegalArgumentException("both framings");
-        }
-    }
-
     /** A connection to an upstream; it belongs to one attempt at a time. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse>
+            implements UpstreamResponseDecoder.Connection {
 
         final Channel channel;
-        final Decoder decoder = new Decoder(this);
+        final UpstreamResponseDecoder decoder = new UpstreamResponseDecoder(this);
         /** When it was last given back; NaN while it is new. */
         double idleSince = Double.NaN;
         /** What it was opened to. */
@@ -600,7 +516,7 @@
         void carry(Attempt attempt) {
             carried = attempt;
             home = attempt.target;
-            decoder.matched = 0;
+            decoder.expectBeginning();
             informational = 0;
             checks = 0;
         }
@@ -617,8 +533,14 @@
             target.idle.addLast(this);
         }
 
+        @Override
+        public boolean expectsAnswer() {
+            return carried != null;
+        }
+
         /** What came is no answer: the attempt may have run, and the connection is of no further use. */
-        void spoilt() {
+        @Override
+        public void spoilt() {
             Attempt attempt = carried;
             carried = null;
             channel.close();
@@ -627,7 +549,8 @@
             }
         }
 
-        void bytesCame() {
+        @Override
+        public void bytesCame() {
             amid = true;
             moved = true;
         }
@@ -655,8 +578,11 @@
         /** The message is whole, and with it what had come of it. */
         private void endMessage() {
             amid = decoder.holdsMore();
-            // What is there already is not looked at again: it is read as the next message.
-            decoder.matched = amid ? BEGINNING.length : 0;
+            if (amid) {
+                decoder.expectNoBeginning();
+            } else {
+                decoder.expectBeginning();
+            }
             if (check != null) {
                 check.cancel(false);
                 check = null;
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -660,7 +660,7 @@
             stage.start();
             // As after many that came up in no time; the first is dialled once more after 10 ms.
             stage.node.onLoop((frontend, upstreams) -> {
-                upstreams.usualDial(0.1);
+                upstreams.connectTime().set(0.1);
                 upstreams.settleFor(0);
                 return null;
             });
