--- a/src/main/java/cranedeal/scale/Fleet.java
+++ b/src/main/java/cranedeal/scale/Fleet.java
@@ -11,18 +11,24 @@
  */
 final class Fleet {
 
-    /** What is known of one upstream; its number gives its id, address and zone. */
-    record Entry(int number, int zone, String state, long startedMillis) {
+    /** What is known of one upstream; its number gives its id and type. */
+    record Entry(int number, int zone, String state, long startedMillis, String address) {
+
+        /** One at an address that its number gives, where nobody need listen. */
+        Entry(int number, int zone, String state, long startedMillis) {
+            this(number, zone, state, startedMillis, "127.%d.%d.%d:8081".formatted(
+                    100 + (number >> 16), number >> 8 & 0xff, number & 0xff));
+        }
 
         String json() {
-            return ("{\"id\":\"s-%08x\",\"addr\":\"127.%d.%d.%d:8081\",\"zone\":\"%s\",\"kind\":\"m%d\","
+            return ("{\"id\":\"s-%08x\",\"addr\":\"%s\",\"zone\":\"%s\",\"kind\":\"m%d\","
                     + "\"cell\":%d,\"state\":\"%s\",\"weight\":1.0,\"started_ms\":%d}").formatted(
-                    number * 0x9e3779b1, 100 + (number >> 16), number >> 8 & 0xff, number & 0xff,
-                    zoneName(zone), number % KINDS, number / CELL, state, startedMillis);
+                    number * 0x9e3779b1, address, zoneName(zone), number % KINDS, number / CELL, state,
+                    startedMillis);
         }
 
         Entry with(String newState, long newStart) {
-            return new Entry(number, zone, newState, newStart);
+            return new Entry(number, zone, newState, newStart, address);
         }
     }
 
--- a/src/main/java/cranedeal/scale/RealBalancer.java
+++ b/src/main/java/cranedeal/scale/RealBalancer.java
@@ -49,8 +49,14 @@
     private double readyMillis;
     private double readyCpuMillis;
 
-    private RealBalancer(String run, DiscoveryStandIn discovery, long seed, int siblings, int tier,
-            int zones) throws IOException {
+    /** Gives each balancer its configuration file. */
+    interface Configuration {
+
+        /** The file of the balancer at a position that listens at an address. */
+        String of(int position, InetSocketAddress listen);
+    }
+
+    private RealBalancer(String run, Configuration configuration, int position) throws IOException {
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             listen = (InetSocketAddress) free.getLocalSocketAddress();
         }
@@ -58,8 +64,7 @@
         log = Files.createTempFile("balancer", ".log");
         config.toFile().deleteOnExit();
         log.toFile().deleteOnExit();
-        Files.writeString(config, Fleet.config(listen, discovery.address(DiscoveryStandIn.REAL), seed,
-                siblings, tier, zones));
+        Files.writeString(config, configuration.of(position, listen));
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run);
         builder.environment().put("PROXY_CONFIG", config.toString());
         process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
@@ -78,10 +83,18 @@
     /** Starts so many at once and returns once all are ready; one that isn't ends the scale run. */
     static List<RealBalancer> start(int count, String run, DiscoveryStandIn discovery, long seed, int tier,
             int zones) throws IOException, InterruptedException {
+        InetSocketAddress asked = discovery.address(DiscoveryStandIn.REAL);
+        return start(count, run, (position, listen) ->
+                Fleet.config(listen, asked, seed + position, count, tier, zones));
+    }
+
+    /** The same with configurations of the caller's own. */
+    static List<RealBalancer> start(int count, String run, Configuration configuration)
+            throws IOException, InterruptedException {
         List<RealBalancer> balancers = new ArrayList<>();
         try {
             for (int i = 0; i < count; i++) {
-                balancers.add(new RealBalancer(run, discovery, seed + i, count, tier, zones));
+                balancers.add(new RealBalancer(run, configuration, i));
             }
             boolean waiting = true;
             while (waiting) {
@@ -129,6 +142,11 @@
         return lines.isEmpty() ? "no word of it" : lines.get(lines.size() - 1);
     }
 
+    /** Where it serves. */
+    InetSocketAddress address() {
+        return listen;
+    }
+
     /** A connection on which the balancer has answered that it is well; it is the caller's to close. */
     Socket health() throws IOException {
         Socket socket = new Socket();
--- a/src/test/java/cranedeal/scale/ScopeTest.java
+++ b/src/test/java/cranedeal/scale/ScopeTest.java
@@ -4,11 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.File;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -41,17 +39,11 @@
                 .matches("(?s).*(cranedeal.scale|picocli|HdrHistogram).*"));
     }
 
-    /** With run's own flags and the libraries of its jar alone; from the classes, as the jar comes later. */
+    /** With run's own flags and the libraries of its jar alone. */
     @Test
     void serveStartsWithoutThemAndTakesNoMoreThanBefore() throws Exception {
-        String libraries = Stream.of(System.getProperty("java.class.path").split(File.pathSeparator))
-                .filter(path -> path.contains("netty") || path.contains("jackson")
-                        || path.endsWith("target" + File.separator + "classes"))
-                .collect(Collectors.joining(File.pathSeparator));
         Path loaded = folder.resolve("loaded");
-        String run = RealBalancer.run()
-                .replaceAll("-XX:SharedArchiveFile=\\S+", "-Xlog:class+load:file=" + loaded)
-                .replaceAll("-jar \\S+", "-cp " + libraries + " cranedeal.node.Main");
+        String run = ServeCommand.fromClasses("-Xlog:class+load:file=" + loaded);
         try (DiscoveryStandIn discovery = new DiscoveryStandIn(Fleet.entries(10, 2),
                 new DiscoveryStandInTest.Deaf())) {
             List<RealBalancer> balancers = RealBalancer.start(1, run, discovery, 7, 1, 2);
