--- a/src/main/java/cranedeal/node/EventLoopMonitor.java
+++ b/src/main/java/cranedeal/node/EventLoopMonitor.java
@@ -70,9 +70,20 @@
      * and one that was ready when the selector was called would not have let it block.
      */
     double longestWaitMillis() {
-        boolean blocked = selectedAt - selectCalledAt > BLOCKED_NANOS;
-        long earliest = blocked ? selectCalledAt : selectedBefore;
-        return (double) (nanoTime.getAsLong() - earliest) / NANOS_PER_MS;
+        return millisSince(blocked() ? selectCalledAt : selectedBefore);
+    }
+
+    /** For how long, in ms, the loop has had no pause: an event that waits for its turn may do so as long. */
+    double busyMillis() {
+        return millisSince(blocked() ? selectedAt : selectedBefore);
+    }
+
+    private boolean blocked() {
+        return selectedAt - selectCalledAt > BLOCKED_NANOS;
+    }
+
+    private double millisSince(long nanos) {
+        return (double) (nanoTime.getAsLong() - nanos) / NANOS_PER_MS;
     }
 
     /** The longest iteration of the last second or two, in ms: a timer that is set now may be so late. */
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -242,7 +242,7 @@
      */
     private void pollDiscovery() {
         double now = clock.now();
-        if (now - discoveryPolledAt >= DISCOVERY_POLL_MS) {
+        if (monitor.busyMillis() >= DISCOVERY_POLL_MS && now - discoveryPolledAt >= DISCOVERY_POLL_MS) {
             discovery.poll();
             discoveryPolledAt = now;
         }
--- a/src/test/java/cranedeal/node/EventLoopMonitorTest.java
+++ b/src/test/java/cranedeal/node/EventLoopMonitorTest.java
@@ -49,6 +49,15 @@
         assertEquals(30, monitor.longestWaitMillis());
     }
 
+    @Test
+    void aLoopIsBusySinceItLastPaused() {
+        iterate(10, 300);
+        iterate(0, 4);
+        assertEquals(304, monitor.busyMillis());
+        iterate(25, 3);
+        assertEquals(3, monitor.busyMillis());
+    }
+
     @Test
     void theLongestIterationIsRecentForASecondOrTwo() {
         iterate(10, 300);
