Take what a selector that blocked returns for new, and not as old as the call to it

The age of what is read was bounded by the time since the selector was called where it then blocked. On a balancer with little traffic that is the whole pause between two events, up to the 200 ms of the next timer: requests lost as much of their time. Lines at fault: EventLoopMonitor.longestWaitMillis. A selector that blocks returns with the first event, so what it brings has just come; that is also the measure of being busy, of which there is one now.

--- a/src/main/java/cranedeal/node/EventLoopMonitor.java
+++ b/src/main/java/cranedeal/node/EventLoopMonitor.java
@@ -65,16 +65,11 @@
     }
 
     /**
-     * The longest time, in ms up to now, for which an event that is handled now may have been waiting. An
-     * event that was ready when the selector returned before this iteration would have been handled then,
-     * and one that was ready when the selector was called would not have let it block.
+     * The longest time, in ms up to now, for which an event that is handled now may have been waiting. A
+     * selector that blocked returned as soon as anything was ready. Else an event that was ready when it
+     * returned before would have been handled then.
      */
     double longestWaitMillis() {
-        return millisSince(blocked() ? selectCalledAt : selectedBefore);
-    }
-
-    /** For how long, in ms, the loop has had no pause: an event that waits for its turn may do so as long. */
-    double busyMillis() {
         return millisSince(blocked() ? selectedAt : selectedBefore);
     }
 
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -242,7 +242,8 @@
      */
     private void pollDiscovery() {
         double now = clock.now();
-        if (monitor.busyMillis() >= DISCOVERY_POLL_MS && now - discoveryPolledAt >= DISCOVERY_POLL_MS) {
+        boolean busy = monitor.longestWaitMillis() >= DISCOVERY_POLL_MS;
+        if (busy && now - discoveryPolledAt >= DISCOVERY_POLL_MS) {
             discovery.poll();
             discoveryPolledAt = now;
         }
