Test the log line of a late loop, and tidy what the test of twelve processes spells out

ClientStandIn imports what it named in full and names its numbers; no assertion changes. Nothing under src/main changes.

--- a/src/test/java/cranedeal/node/LateLoopTest.java
+++ b/src/test/java/cranedeal/node/LateLoopTest.java
@@ -14,6 +14,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -133,6 +137,38 @@
         }
     }
 
+    @Test
+    void theLogTellsHowLateTheLoopWas() throws Exception {
+        LinkedBlockingQueue<String> lines = new LinkedBlockingQueue<>();
+        Handler log = new Handler() {
+            @Override
+            public void publish(LogRecord line) {
+                if (line.getMessage().startsWith("the event loop was late")) {
+                    lines.add(line.getMessage());
+                }
+            }
+
+            @Override
+            public void flush() {
+                // Nothing is held back.
+            }
+
+            @Override
+            public void close() {
+                // Nothing is open.
+            }
+        };
+        Node.LOG.addHandler(log);
+        try (Stage stage = new Stage().start()) {
+            keepBusy(stage, () -> TimeUnit.MILLISECONDS.sleep(LATE_MS));
+            Matcher told = Pattern.compile(" and (\\d+) ms at most").matcher(Script.next(lines));
+            assertTrue(told.find());
+            assertTrue(Integer.parseInt(told.group(1)) >= LATE_MS - CLOCKS_MS, told.group());
+        } finally {
+            Node.LOG.removeHandler(log);
+        }
+    }
+
     @Test
     void theGraceOfADrainRunsWhileItsNewsLiesUnread() throws Exception {
         try (Stage stage = new Stage(); Backlog full = new Backlog()) {
--- a/src/test/java/cranedeal/scale/BalancerFleetTest.java
+++ b/src/test/java/cranedeal/scale/BalancerFleetTest.java
@@ -192,7 +192,7 @@
             for (Received received : upstreams.get(i).received()) {
                 checkUnchanged(received, sent.get(received.transaction()));
                 runs.merge(received.transaction(), received.ran() ? 1 : 0, Integer::sum);
-                double afterDrain = (received.at() - drainedAt) / 1e6;
+                double afterDrain = (received.at() - drainedAt) / ClientStandIn.NANOS_PER_MS;
                 last = Math.max(last, afterDrain);
                 assertTrue(i >= RELEASED || afterDrain <= DRAIN_GRACE_MS + TOLD_SLACK_MS,
                         afterDrain + " ms after it was told to drain upstream " + i + " got " + received);
--- a/src/test/java/cranedeal/scale/ClientStandIn.java
+++ b/src/test/java/cranedeal/scale/ClientStandIn.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -20,7 +21,11 @@
     /** What became of a request; status 0 stands for no whole answer. */
     record Outcome(Kind kind, String transaction, int status, String body, double millis) { }
 
+    static final double NANOS_PER_MS = 1e6;
     private static final int CONNECT_MS = 10_000;
+    /** Where the status stands in the first line of an answer. */
+    private static final int STATUS_BEGIN = "HTTP/1.1 ".length();
+    private static final int STATUS_END = STATUS_BEGIN + 3;
 
     private final InetSocketAddress balancer;
     private final double patienceMillis;
@@ -64,7 +69,7 @@
     }
 
     private String request(Kind kind, String transaction) {
-        String path = kind.name().toLowerCase(java.util.Locale.ROOT);
+        String path = kind.name().toLowerCase(Locale.ROOT);
         String head = (kind == Kind.READ ? "GET" : "POST") + " /" + path + " HTTP/1.1\r\nHost: app.svc\r\n"
                 + "X-Txn: " + transaction + "\r\nX-Lane: " + path + "\r\nX-Remaining: "
                 + patienceMillis / TimeUnit.SECONDS.toMillis(1) + "\r\n";
@@ -87,7 +92,8 @@
             }
             int length = Integer.parseInt(header(head, "content-length"));
             byte[] body = socket.getInputStream().readNBytes(length);
-            int status = body.length < length ? 0 : Integer.parseInt(head.substring(9, 12));
+            boolean whole = body.length == length;
+            int status = whole ? Integer.parseInt(head.substring(STATUS_BEGIN, STATUS_END)) : 0;
             if ("close".equals(header(head, "connection"))) {
                 close();
             }
@@ -116,12 +122,12 @@
     }
 
     private static String header(String head, String name) {
-        return head.lines().filter(line -> line.toLowerCase(java.util.Locale.ROOT).startsWith(name + ":"))
+        return head.lines().filter(line -> line.toLowerCase(Locale.ROOT).startsWith(name + ":"))
                 .map(line -> line.substring(name.length() + 1).strip()).findFirst().orElse("0");
     }
 
     private static double millisSince(long begun) {
-        return (System.nanoTime() - begun) / 1e6;
+        return (System.nanoTime() - begun) / NANOS_PER_MS;
     }
 
     @Override
