Fill the tests' listening queue so that the kernel forgets no connection that hangs

Cause: Backlog listened with a queue of one and left two of its own connections hanging beside the node's. They try again within the same tick of the kernel's timer, the queue of half-open connections is one long as well, and Linux answers those beyond it by SYN cookies, of which it keeps no state. A connection whose last packet then finds the accept queue full is dropped without a word: the node takes it to be up, and the listener never hears of it.

Ruled out: a queue that isn't full (the connection would be accepted at once), and the time-out of the connection (15 s; its loop is held by the test).

Change: a queue of eight, filled by connections that are all up, so that only the node's own hang. No assertion changes.

--- a/src/test/java/cranedeal/node/Backlog.java
+++ b/src/test/java/cranedeal/node/Backlog.java
@@ -11,16 +11,19 @@
 /** A listening socket whose queue is full: further connections hang until someone is accepted. */
 final class Backlog implements AutoCloseable {
 
-    private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+    /**
+     * Connections that wait to be accepted, for which Linux takes one more than it is told. With only one or
+     * two, several that hang and try again at once make it answer them by SYN cookies. It then forgets a
+     * connection whose last packet finds the queue full, while the other end takes it to be up.
+     */
+    private static final int LENGTH = 8;
+
+    private final ServerSocket server = new ServerSocket(0, LENGTH, InetAddress.getLoopbackAddress());
     private final List<SocketChannel> filling = new ArrayList<>();
 
     Backlog() throws Exception {
-        for (int i = 0; i < 4; i++) {
-            SocketChannel channel = SocketChannel.open();
-            channel.configureBlocking(false);
-            channel.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-            channel.connect(server.getLocalSocketAddress());
-            filling.add(channel);
+        for (int i = 0; i <= LENGTH; i++) {
+            filling.add(SocketChannel.open(server.getLocalSocketAddress()));
         }
     }
 
