Tell by a second call, not by its duration, whether the selector had to wait

A request went out 300 ms after the news that its server drains lay on the socket, with a grace of 150 ms.

Cause: EventLoopMonitor took any call to the selector of over 1 ms as one that had nothing to return (BLOCKED_NANOS). Where others use the processor a call is interrupted for longer than that although events are ready. What lay unread all through the iteration before is then reckoned from this moment on: drains of discovery by Node.toldSince, and the time of requests by ClientConnection, so that answers come later than the client waits. Ruled out: the order of events (awaits() polls discovery first), the watch's own time-out (2 s to 3 s), the second dial (after 3.75 s).

Change: each iteration first handles what is ready without waiting, and waits in a second call only if there was nothing. The test forces a slow call with something ready; it fails on the old code (325 expected, 0 measured).

--- a/src/main/java/cranedeal/node/EventLoopMonitor.java
+++ b/src/main/java/cranedeal/node/EventLoopMonitor.java
@@ -16,8 +16,6 @@
 final class EventLoopMonitor {
 
     private static final long NANOS_PER_MS = 1_000_000;
-    /** A call to the selector that took longer than this had nothing to return when it began. */
-    private static final long BLOCKED_NANOS = NANOS_PER_MS;
     private static final int PERCENT = 100;
     /**
      * The longest iteration counts as recent for this long, and for as long again: on a processor that others
@@ -43,17 +41,17 @@
     private long windowBegan;
     private boolean started;
     private long iteration;
-    private long selectCalledAt;
     private long selectedAt;
     /** When the selector returned before the present iteration. */
     private long selectedBefore;
+    /** Whether nothing was ready when the present iteration began, so that it waited for its events. */
+    private boolean blocked;
 
     /** {@code nanoTime} is a monotonic clock like {@link System#nanoTime()}. */
     EventLoopMonitor(LongSupplier nanoTime) {
         this.nanoTime = nanoTime;
         selectedAt = nanoTime.getAsLong();
         selectedBefore = selectedAt;
-        selectCalledAt = selectedAt;
         windowBegan = selectedAt;
     }
 
@@ -73,11 +71,7 @@
      * returned before would have been handled then.
      */
     double longestWaitMillis() {
-        return millisSince(blocked() ? selectedAt : selectedBefore);
-    }
-
-    private boolean blocked() {
-        return selectedAt - selectCalledAt > BLOCKED_NANOS;
+        return millisSince(blocked ? selectedAt : selectedBefore);
     }
 
     private double millisSince(long nanos) {
@@ -112,14 +106,15 @@
         return Long.MAX_VALUE;
     }
 
-    /** The loop is about to call the selector: the present iteration ends. */
-    private void beforeSelect() {
+    /** The loop is about to call the selector: the present iteration ends and the next one begins. */
+    private void beginIteration() {
         long now = nanoTime.getAsLong();
         if (started) {
             count(now - selectedAt, now);
         }
         started = true;
-        selectCalledAt = now;
+        iteration++;
+        selectedBefore = selectedAt;
     }
 
     private void count(long nanos, long now) {
@@ -134,10 +129,8 @@
         longestInWindow = Math.max(longestInWindow, nanos);
     }
 
-    /** The selector has returned: an iteration begins. */
+    /** The selector has returned. */
     private void afterSelect() {
-        iteration++;
-        selectedBefore = selectedAt;
         selectedAt = nanoTime.getAsLong();
     }
 
@@ -156,11 +149,22 @@
             handler.initialize();
         }
 
+        /**
+         * Handles what is ready, and waits only if nothing is. Whether a call to the selector had to wait
+         * does not show in how long it took: one that has something to return may be slow too, on a processor
+         * that others use.
+         */
         @Override
         public int run(IoHandlerContext context) {
             watched.context = context;
-            beforeSelect();
-            return handler.run(watched);
+            beginIteration();
+            blocked = false;
+            int handled = handler.run(watched);
+            if (handled == 0 && context.canBlock()) {
+                blocked = true;
+                handled = handler.run(watched);
+            }
+            return handled;
         }
 
         @Override
@@ -196,7 +200,7 @@
 
         @Override
         public boolean canBlock() {
-            return context.canBlock();
+            return blocked && context.canBlock();
         }
 
         @Override
--- a/src/test/java/cranedeal/node/EventLoopMonitorTest.java
+++ b/src/test/java/cranedeal/node/EventLoopMonitorTest.java
@@ -14,6 +14,7 @@
 
     private long now = TimeUnit.SECONDS.toNanos(7);
     private final EventLoopMonitor monitor = new EventLoopMonitor(() -> now);
+    private boolean ready;
     private long selectMillis;
     private final IoHandler handler = monitor.watch(executor -> new Selecting()).newHandler(null);
 
@@ -21,8 +22,13 @@
         now += TimeUnit.MILLISECONDS.toNanos(millis);
     }
 
-    /** Calls the selector, which returns after {@code select} ms, and handles events for {@code work} ms. */
+    /** Waits for events for {@code select} ms, none if some are ready, and handles them for {@code work} ms. */
     private void iterate(long select, long work) {
+        iterate(select == 0, select, work);
+    }
+
+    private void iterate(boolean someReady, long select, long work) {
+        ready = someReady;
         selectMillis = select;
         handler.run(new Context());
         pass(work);
@@ -51,6 +57,22 @@
         assertEquals(5, monitor.longestWaitMillis());
     }
 
+    @Test
+    void aSlowCallToTheSelectorHasNotBlockedIfSomethingWasReady() {
+        iterate(10, 300);
+        iterate(true, 25, 0);
+        assertEquals(325, monitor.longestWaitMillis());
+    }
+
+    @Test
+    void whatIsReadyAndWhatIsWaitedForAreOneIteration() {
+        long before = monitor.iteration();
+        iterate(10, 0);
+        assertEquals(before + 1, monitor.iteration());
+        iterate(0, 0);
+        assertEquals(before + 2, monitor.iteration());
+    }
+
     @Test
     void theLongestIterationIsRecentForFourToEightSeconds() {
         iterate(10, 300);
@@ -83,13 +105,20 @@
         assertEquals(new EventLoopMonitor.Report(1, 0, 0, 0), monitor.report());
     }
 
-    /** As the handlers of Netty: asks whether to measure the time as soon as the selector has returned. */
+    /**
+     * As the handlers of Netty: waits only if it may, asks whether to measure the time as soon as the selector
+     * has returned, and tells how many events it has handled.
+     */
     private final class Selecting implements IoHandler {
 
         @Override
         public int run(IoHandlerContext context) {
-            pass(selectMillis);
-            return context.shouldReportActiveIoTime() ? 1 : 0;
+            boolean returns = ready || context.canBlock();
+            if (returns) {
+                pass(selectMillis);
+            }
+            context.shouldReportActiveIoTime();
+            return returns ? 1 : 0;
         }
 
         @Override
