--- a/src/test/java/cranedeal/node/DrainTest.java
+++ b/src/test/java/cranedeal/node/DrainTest.java
@@ -6,8 +6,6 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
@@ -20,23 +18,8 @@
 
     private static final String HEALTH = "GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n";
 
-    private static Process start(Path config, String... arguments) throws IOException {
-        String[] command = new String[arguments.length + 4];
-        command[0] = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        command[1] = "-cp";
-        command[2] = System.getProperty("java.class.path");
-        command[3] = Main.class.getName();
-        System.arraycopy(arguments, 0, command, 4, arguments.length);
-        ProcessBuilder builder = new ProcessBuilder(command);
-        builder.environment().remove("PROXY_CONFIG");
-        if (config != null) {
-            builder.environment().put("PROXY_CONFIG", config.toString());
-        }
-        return builder.redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
-    }
-
     private static void endsWithOneLine(int status, Path config, String... arguments) throws Exception {
-        Process process = start(config, arguments);
+        Process process = ServeProcess.startWith(config, arguments);
         try (BufferedReader error = process.errorReader()) {
             assertEquals(1, error.lines().filter(line -> !line.isBlank()).count());
         }
@@ -68,27 +51,18 @@
 
     @Test
     void sigtermLetsAllThatIsTakenBeAnswered() throws Exception {
-        Path file = Files.createTempFile("node", ".json");
-        int port;
-        try (ServerSocket free = new ServerSocket(0)) {
-            port = free.getLocalPort();
-        }
-        Process process = null;
-        try (Stage stage = new Stage()) {
-            Files.writeString(file, stage.config().replace("127.0.0.1:0", "127.0.0.1:" + port));
-            process = start(file, "serve");
-            InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
-            Peer taken = Peer.toServing(address, process);
-            Peer idle = Peer.to(address);
+        try (Stage stage = new Stage(); ServeProcess node = ServeProcess.start(stage)) {
+            Peer taken = node.connect();
+            Peer idle = Peer.to(node.address);
             idle.write(HEALTH);
             assertEquals("keep-alive", idle.read().headers().getOrDefault("connection", "keep-alive"));
             taken.write(Stage.get("taken", "10"));
             Peer upstream = stage.upstreams.get(0).accept();
             upstream.read();
-            process.destroy();
+            node.process.destroy();
             // A second one, and a new configuration just then, change nothing.
-            process.destroy();
-            hangUp(process);
+            node.process.destroy();
+            node.hangUp();
             idle.write(Stage.get("reused", "10"));
             Peer second = stage.upstreams.get(0).accept();
             second.read();
@@ -96,7 +70,7 @@
             Peer.Message late = null;
             while (late == null || late.header("Connection") == null) {
                 // Callers are asked to leave only when the time for the last answers begins.
-                Peer caller = Peer.to(address);
+                Peer caller = Peer.to(node.address);
                 caller.write(HEALTH);
                 late = caller.read();
                 assertEquals(200, late.status());
@@ -108,43 +82,24 @@
             assertTrue(idle.ended());
             upstream.write(Stage.ok("taken"));
             assertEquals("taken", taken.read().body());
-            assertTrue(process.waitFor(Peer.PATIENCE_MS, TimeUnit.MILLISECONDS));
-        } finally {
-            if (process != null) {
-                process.destroyForcibly();
-            }
-            Files.delete(file);
+            assertTrue(node.process.waitFor(Peer.PATIENCE_MS, TimeUnit.MILLISECONDS));
         }
     }
 
     @Test
     void sighupReadsTheFileAgainAndABadOneChangesNothing() throws Exception {
-        Path file = Files.createTempFile("node", ".json");
-        int port;
-        try (ServerSocket free = new ServerSocket(0)) {
-            port = free.getLocalPort();
-        }
-        Process process = null;
-        try (Stage stage = new Stage(); Listener second = new Listener()) {
-            String config = stage.config().replace("127.0.0.1:0", "127.0.0.1:" + port);
-            Files.writeString(file, config);
-            process = start(file, "serve");
-            Peer caller = Peer.toServing(new InetSocketAddress("127.0.0.1", port), process);
+        try (Stage stage = new Stage(); Listener second = new Listener();
+                ServeProcess node = ServeProcess.start(stage)) {
+            Peer caller = node.connect();
             stage.discovery.accept().read();
-            Files.writeString(file, "{");
-            hangUp(process);
+            node.reload("{");
             // Its complaint tells that it has been read.
-            assertTrue(process.errorReader().lines().anyMatch(line -> line.contains("stays as it was")));
-            Files.writeString(file, config.replace(stage.discovery.address(), second.address()));
-            hangUp(process);
+            assertTrue(node.process.errorReader().lines()
+                    .anyMatch(line -> line.contains("stays as it was")));
+            node.reload(node.config.replace(stage.discovery.address(), second.address()));
             assertEquals("GET /catalog/members HTTP/1.1", second.accept().read().first());
             caller.write(HEALTH);
             assertEquals(200, caller.read().status());
-        } finally {
-            if (process != null) {
-                process.destroyForcibly();
-            }
-            Files.delete(file);
         }
     }
 
@@ -154,38 +109,14 @@
                 .filter(line -> line.startsWith("run = \"")).findFirst().orElseThrow();
         // What comes ahead of the virtual machine, which leaves a signal ignored that was so at its start.
         String ahead = run.substring(run.indexOf('"') + 1, run.indexOf("java "));
-        Path file = Files.createTempFile("node", ".json");
-        int port;
-        try (ServerSocket free = new ServerSocket(0)) {
-            port = free.getLocalPort();
-        }
-        Process process = null;
-        try (Stage stage = new Stage(); Listener second = new Listener()) {
-            String config = stage.config().replace("127.0.0.1:0", "127.0.0.1:" + port);
-            Files.writeString(file, config);
-            ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "trap '' HUP; " + ahead + "\""
-                    + Path.of(System.getProperty("java.home"), "bin", "java") + "\" -cp \"$CLASSES\" "
-                    + Main.class.getName() + " serve");
-            builder.environment().put("CLASSES", System.getProperty("java.class.path"));
-            builder.environment().put("PROXY_CONFIG", file.toString());
-            process = builder.redirectErrorStream(true)
-                    .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
-            Peer.toServing(new InetSocketAddress("127.0.0.1", port), process);
-            Files.writeString(file, config.replace(stage.discovery.address(), second.address()));
-            hangUp(process);
+        try (Stage stage = new Stage(); Listener second = new Listener();
+                ServeProcess node = ServeProcess.startInShell(stage, "trap '' HUP; " + ahead)) {
+            node.connect();
+            node.reload(node.config.replace(stage.discovery.address(), second.address()));
             assertEquals("GET /catalog/members HTTP/1.1", second.accept().read().first());
-        } finally {
-            if (process != null) {
-                process.destroyForcibly();
-            }
-            Files.delete(file);
         }
     }
 
-    private static void hangUp(Process process) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
-    }
-
     @Test
     void aDrainServesCallersAsBeforeWhileThereIsTime() throws Exception {
         try (Stage stage = new Stage().start()) {
--- a/src/test/java/cranedeal/node/EventLoopMonitorTest.java
+++ b/src/test/java/cranedeal/node/EventLoopMonitorTest.java
@@ -22,7 +22,7 @@
         now += TimeUnit.MILLISECONDS.toNanos(millis);
     }
 
-    /** Waits for events for {@code select} ms, none if some are ready, and handles them for {@code work} ms. */
+    /** Waits {@code select} ms for events, or 0 if some are ready, and handles them for {@code work} ms. */
     private void iterate(long select, long work) {
         iterate(select == 0, select, work);
     }
@@ -106,8 +106,8 @@
     }
 
     /**
-     * As the handlers of Netty: waits only if it may, asks whether to measure the time as soon as the selector
-     * has returned, and tells how many events it has handled.
+     * As the handlers of Netty: waits only if it may, asks whether to measure the time as soon as the
+     * selector has returned, and tells how many events it has handled.
      */
     private final class Selecting implements IoHandler {
 
--- a/src/test/java/cranedeal/node/StartTest.java
+++ b/src/test/java/cranedeal/node/StartTest.java
@@ -5,8 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -26,33 +24,16 @@
 
     /** The names of the classes that a process has loaded by the time at which it serves. */
     private static List<String> classesOfAStart() throws Exception {
-        Path config = Files.createTempFile("node", ".json");
         Path log = Files.createTempFile("classes", ".log");
-        Process process = null;
-        try (Stage stage = new Stage(2)) {
-            int port;
-            try (ServerSocket free = new ServerSocket(0)) {
-                port = free.getLocalPort();
-            }
-            Files.writeString(config, stage.config().replace("127.0.0.1:0", "127.0.0.1:" + port));
-            ProcessBuilder builder = new ProcessBuilder(
-                    Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-Xlog:class+load:file=" + log + ":none", "-Dio.netty.jfr.enabled=false", "-cp",
-                    System.getProperty("java.class.path"), Main.class.getName(), "serve");
-            builder.environment().put("PROXY_CONFIG", config.toString());
-            process = builder.redirectOutput(ProcessBuilder.Redirect.DISCARD)
-                    .redirectError(ProcessBuilder.Redirect.DISCARD).start();
+        try (Stage stage = new Stage(2); ServeProcess node = ServeProcess.start(stage,
+                "-Xlog:class+load:file=" + log + ":none", "-Dio.netty.jfr.enabled=false")) {
             stage.discovery.accept().write(Stage.ok(Stage.roster(42, false)));
-            Peer.toServing(new InetSocketAddress("127.0.0.1", port), process).close();
-            process.destroyForcibly().waitFor();
+            node.connect().close();
+            node.process.destroyForcibly().waitFor();
             try (Stream<String> lines = Files.lines(log)) {
                 return lines.map(line -> line.split(" ")[0]).toList();
             }
         } finally {
-            if (process != null) {
-                process.destroyForcibly();
-            }
-            Files.delete(config);
             Files.delete(log);
         }
     }
