Refuse what clients mark as a retry before their first tries

With the state of the overload control in the log half or more of what the front balancers send are retries of what they refused or were late with, and a retry that is served in its own time is late for the client, who has waited since its first try.

At fault: LatencyWeightedBalancer.shed drew each request of a class with the same chance and never looked at Request.retry, so the work for first tries was given to their retries, which brought more of them.

Change: of the part of a class that is to be refused, marked retries are refused first; the part itself is as before.

--- a/src/main/java/cranedeal/ClassRecord.java
+++ b/src/main/java/cranedeal/ClassRecord.java
@@ -11,6 +11,8 @@
     final Mean latency;
     /** Hinted cost. */
     final Mean hint;
+    /** Share of its requests that are marked as a client's retry. */
+    final Mean retries;
     /** Its share of the requests that arrive. */
     double share;
     /** The part of them to refuse at once. */
@@ -34,6 +36,7 @@
         this.type = type;
         latency = new Mean(firstLatency, gain);
         hint = new Mean(0, gain);
+        retries = new Mean(0, gain);
         slowRatio = firstRatio;
     }
 
--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -202,6 +202,7 @@
         if (request.cost() > 0) {
             call.record.hint.add(request.cost());
         }
+        call.record.retries.add(request.retry() ? 1 : 0);
         // Where a late answer is worth nothing, the work for it is better spent on others.
         double stretched = call.type.aim() + call.type.aimStretch() * request.cost();
         double aim = now + Math.min(call.type.deadline(), stretched);
@@ -291,7 +292,22 @@
             return false;
         }
         planShedding(call.record.leader);
-        return random.nextDouble() < call.record.refused;
+        return random.nextDouble() < refusalChance(call);
+    }
+
+    /**
+     * The chance that a request is refused, which over all requests of its class makes the part to refuse.
+     * Marked retries go first: their client has waited before, so that less is left of its aim than there
+     * seems to be, and a first try that is served brings no retry.
+     */
+    private static double refusalChance(Call call) {
+        ClassRecord c = call.record;
+        double retries = c.retries.value();
+        double chanceOfRetry = Math.min(1, c.refused / Math.max(SEEN_LEAST, retries));
+        if (call.request.retry()) {
+            return chanceOfRetry;
+        }
+        return (c.refused - retries * chanceOfRetry) / Math.max(SEEN_LEAST, 1 - retries);
     }
 
     /**
--- a/src/test/java/cranedeal/Bench.java
+++ b/src/test/java/cranedeal/Bench.java
@@ -64,6 +64,13 @@
         balancer.request(now, new Request(id, serviceClass, 0, key, deadline, cost, false, false));
     }
 
+    /** A request that its client marked as a repeat. */
+    void retry(long id, int serviceClass) {
+        open.add(id);
+        balancer.request(now, new Request(id, serviceClass, 0, id,
+                now + settings.classes().get(serviceClass).deadline(), 0, true, false));
+    }
+
     /** A request with a key and its class's whole deadline. */
     void keyed(long id, int serviceClass, long key) {
         request(id, serviceClass, now + settings.classes().get(serviceClass).deadline(), 0, key);
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -571,6 +571,26 @@
         assertEquals(refusedInTrouble, bench.refused.size());
     }
 
+    @Test
+    void markedRetriesAreRefusedBeforeFirstTries() {
+        Bench bench = new Bench(Sites.plain().lateWorth(0).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        for (int i = 0; i < 400; i++) {
+            if (i % 2 == 0) {
+                bench.request(i, 0);
+            } else {
+                bench.retry(i, 0);
+            }
+            bench.advance(20);
+            if (bench.isOpen(i)) {
+                bench.finishAfter(bench.lastSend(), Result.OK, 900);
+            }
+        }
+        long retries = bench.refused.stream().filter(id -> id % 2 == 1).count();
+        long first = bench.refused.size() - retries;
+        assertTrue(retries > 40 && first < retries / 4, retries + " retries and " + first + " others");
+    }
+
     @Test
     void noSecondCopyIsSentWhileWorkIsRefused() {
         Bench bench = new Bench(Sites.plain().parallel(true).build(), 1);
