Give the commands of the scale run their zones and seed by one set of options

DeploymentOptions, a mixin of the command line's library, has them once; names, defaults and bounds stay. CommandLineTest and SmallScaleRunTest pass, whose assertions did not change. Nothing of the module or the network code changes.

--- a/src/main/java/cranedeal/scale/CallsCommand.java
+++ b/src/main/java/cranedeal/scale/CallsCommand.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /**
@@ -32,8 +33,8 @@
     @Option(names = "--lists", split = ",", defaultValue = "10,30,100,300,1000,4000",
             description = "Lengths of the list (default ${DEFAULT-VALUE}).")
     private List<Integer> lists;
-    @Option(names = "--zones", defaultValue = "13", description = "Zones (default ${DEFAULT-VALUE}).")
-    private int zones;
+    @Mixin
+    private DeploymentOptions deployment;
     @Option(names = "--tier", defaultValue = "0", description = "0 where clients arrive, else 1.")
     private int tier;
     @Option(names = "--rate", defaultValue = "147",
@@ -44,13 +45,11 @@
     @Option(names = "--batch-ms", defaultValue = "60",
             description = "Processor time of a batch (default ${DEFAULT-VALUE}).")
     private int batchMillis;
-    @Option(names = "--seed", defaultValue = "1", description = "Seed (default ${DEFAULT-VALUE}).")
-    private long seed;
 
     @Override
     public Integer call() throws IOException {
         Arguments.each("--lists", lists, 1, LONGEST_LIST);
-        Arguments.within("--zones", zones, 1, 100);
+        deployment.check();
         Arguments.within("--tier", tier, 0, 1);
         Arguments.within("--rate", rate, 1, 10_000);
         Arguments.within("--repeats", repeats, 1, MOST_REPEATS);
@@ -63,15 +62,17 @@
     }
 
     private Point measure(int length) throws IOException {
-        Point point = new Point("calls", seed);
-        point.parameters.put("list", length).put("zones", zones).put("tier", tier).put("rate", rate)
+        Point point = new Point("calls", deployment.seed);
+        point.parameters.put("list", length).put("zones", deployment.zones).put("tier", tier)
+                .put("rate", rate)
                 .put("batch_ms", batchMillis);
         HollowBalancer.Template template = HollowBalancer.Template.parse(
-                Fleet.config(NOWHERE, NOWHERE, seed, length, tier, zones));
-        byte[] body = Fleet.list(1, true, Fleet.entries(length, zones)).getBytes(StandardCharsets.US_ASCII);
+                Fleet.config(NOWHERE, NOWHERE, deployment.seed, length, tier, deployment.zones));
+        byte[] body = Fleet.list(1, true, Fleet.entries(length, deployment.zones))
+                .getBytes(StandardCharsets.US_ASCII);
         List<Upstream> list = template.list(body);
         count(point, template, list);
-        ModuleRun run = new ModuleRun(template.settings(), list, rate, seed);
+        ModuleRun run = new ModuleRun(template.settings(), list, rate, deployment.seed);
         time(point, "call", run::call);
         time(point, "change", run::change);
         time(point, "no_news", run::noNews);
@@ -85,7 +86,7 @@
         });
         // Of its own: while changes were timed, the calls that were out have become late.
         point.results.put("reached",
-                new ModuleRun(template.settings(), list, rate, seed).reached(IDLE_MS));
+                new ModuleRun(template.settings(), list, rate, deployment.seed).reached(IDLE_MS));
         point.results.put("list_bytes", body.length);
         return point;
     }
--- a/src/main/java/cranedeal/scale/ControlCommand.java
+++ b/src/main/java/cranedeal/scale/ControlCommand.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntPredicate;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /**
@@ -44,8 +45,8 @@
     int list;
     @Option(names = "--real", defaultValue = "0", description = "Real balancers beside them.")
     int real;
-    @Option(names = "--zones", defaultValue = "13", description = "Zones.")
-    int zones;
+    @Mixin
+    DeploymentOptions deployment = new DeploymentOptions();
     @Option(names = "--tier", defaultValue = "1", description = "0 where clients arrive, else 1.")
     int tier;
     @Option(names = "--loops", defaultValue = "2", description = "Threads that hollow balancers share.")
@@ -64,8 +65,6 @@
     boolean refuse;
     @Option(names = "--keeps-history", description = "After the outage changes are known, not whole lists.")
     boolean keepsHistory;
-    @Option(names = "--seed", defaultValue = "1", description = "Seed.")
-    long seed;
 
     private PrintStream out = System.out;
     private DiscoveryStandIn discovery;
@@ -97,7 +96,7 @@
         Arguments.within("--list", list, 1, LONGEST_LIST);
         Arguments.within("--balancers times --list", (double) balancers * list, 1, MOST_ENTRIES);
         Arguments.within("--real", real, 0, 64);
-        Arguments.within("--zones", zones, 1, 100);
+        deployment.check();
         Arguments.within("--tier", tier, 0, 1);
         Arguments.within("--loops", loops, 1, 8);
         Arguments.within("--rest", rest, 0, 120);
@@ -106,16 +105,17 @@
         Arguments.within("--a-day", changesADay, 1, 10_000_000);
         Arguments.within("--outage", outage, 0, 60);
         Machine.check(2L * balancers + SPARE_SOCKETS, real);
-        random = new SplittableRandom(seed);
-        entries = new ArrayList<>(Fleet.entries(list, zones));
+        random = new SplittableRandom(deployment.seed);
+        entries = new ArrayList<>(Fleet.entries(list, deployment.zones));
         discovery = new DiscoveryStandIn(entries, new Stamps());
         try {
             HollowBalancer.Template template = HollowBalancer.Template.parse(
                     Fleet.config(discovery.address(DiscoveryStandIn.HOLLOW),
-                            discovery.address(DiscoveryStandIn.HOLLOW), seed, balancers, tier, zones));
-            fleet = new HollowFleet(template, balancers, loops, seed, hollowTakings);
-            reals = RealBalancer.start(real, RealBalancer.run(), discovery, seed, tier,
-                    zones);
+                            discovery.address(DiscoveryStandIn.HOLLOW), deployment.seed, balancers, tier,
+                            deployment.zones));
+            fleet = new HollowFleet(template, balancers, loops, deployment.seed, hollowTakings);
+            reals = RealBalancer.start(real, RealBalancer.run(), discovery, deployment.seed, tier,
+                    deployment.zones);
             phases();
         } finally {
             if (fleet != null) {
@@ -159,8 +159,8 @@
         if (day > 0) {
             phase("day", this::dayOfChanges, 0);
         }
-        if (zones > 1) {
-            IntPredicate lost = position -> position % zones == 0;
+        if (deployment.zones > 1) {
+            IntPredicate lost = position -> position % deployment.zones == 0;
             phase("zone-loss", () -> {
                 fleet.stop(lost);
                 return fleet.await(discovery.change(zone("removed", 0)), LONGEST_TAKING);
@@ -264,9 +264,9 @@
         long deltas = fleet.deltas();
         long failures = fleet.failures();
         int missing = work.run();
-        Point point = new Point("control", seed);
+        Point point = new Point("control", deployment.seed);
         point.parameters.put("phase", name).put("balancers", balancers).put("list", list)
-                .put("real", real).put("zones", zones).put("tier", tier).put("loops", loops)
+                .put("real", real).put("zones", deployment.zones).put("tier", tier).put("loops", loops)
                 .put("changes_a_day", changesADay).put("outage_s", outage).put("refuse", refuse)
                 .put("keeps_history", keepsHistory);
         ObjectNode results = point.results;
--- a/src/main/java/cranedeal/scale/ProcessesCommand.java
+++ b/src/main/java/cranedeal/scale/ProcessesCommand.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLongArray;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /**
@@ -36,12 +37,10 @@
     @Option(names = "--connections", split = ",", defaultValue = "0",
             description = "Callers' connections open at each, one number after another, upwards.")
     private List<Integer> connections;
-    @Option(names = "--zones", defaultValue = "13", description = "Zones.")
-    private int zones;
+    @Mixin
+    private DeploymentOptions deployment;
     @Option(names = "--tier", defaultValue = "1", description = "0 where clients arrive, else 1.")
     private int tier;
-    @Option(names = "--seed", defaultValue = "1", description = "Seed.")
-    private long seed;
 
     @Override
     public Integer call() throws IOException, InterruptedException {
@@ -49,7 +48,7 @@
         Arguments.within("--count", count, 1, 64);
         Arguments.within("--resyncs", resyncs, 0, 100);
         Arguments.each("--connections", connections, 0, 300);
-        Arguments.within("--zones", zones, 1, 100);
+        deployment.check();
         Arguments.within("--tier", tier, 0, 1);
         Machine.check(0, count);
         for (int length : lists) {
@@ -59,17 +58,17 @@
     }
 
     private Point measure(int length) throws IOException, InterruptedException {
-        Point point = new Point("processes", seed);
-        point.parameters.put("list", length).put("count", count).put("resyncs", resyncs).put("zones", zones)
-                .put("tier", tier);
-        List<Entry> entries = Fleet.entries(length, zones);
+        Point point = new Point("processes", deployment.seed);
+        point.parameters.put("list", length).put("count", count).put("resyncs", resyncs)
+                .put("zones", deployment.zones).put("tier", tier);
+        List<Entry> entries = Fleet.entries(length, deployment.zones);
         List<Socket> open = new ArrayList<>();
         List<RealBalancer> balancers = List.of();
         Acknowledgements acknowledged = new Acknowledgements();
         DiscoveryStandIn discovery = new DiscoveryStandIn(entries, acknowledged);
         try {
-            balancers = RealBalancer.start(count, RealBalancer.run(), discovery, seed, tier,
-                    zones);
+            balancers = RealBalancer.start(count, RealBalancer.run(), discovery, deployment.seed, tier,
+                    deployment.zones);
             Point.spread(point.results, "ready_ms", each(balancers, RealBalancer::readyMillis));
             Point.spread(point.results, "ready_cpu_ms", each(balancers, RealBalancer::readyCpuMillis));
             TimeUnit.MILLISECONDS.sleep(SETTLE_MS);
--- a/src/test/java/cranedeal/scale/SmallScaleRunTest.java
+++ b/src/test/java/cranedeal/scale/SmallScaleRunTest.java
@@ -135,14 +135,14 @@
         ControlCommand command = new ControlCommand();
         command.balancers = BALANCERS;
         command.list = LIST;
-        command.zones = ZONES;
+        command.deployment.zones = ZONES;
         command.loops = 1;
         command.changes = 2;
         command.day = 0.2;
         command.changesADay = 2_000_000;
         command.outage = 0.1;
         command.refuse = refuse;
-        command.seed = 7;
+        command.deployment.seed = 7;
         ByteArrayOutputStream printed = new ByteArrayOutputStream();
         assertEquals(0, command.to(new PrintStream(printed, true, StandardCharsets.UTF_8)).call());
         Map<String, JsonNode> phases = new HashMap<>();
