Wait for timers in whole milliseconds, rounded up, so that the loop does not spin

At fault: Netty's wait rounds the time until the next timer to the nearest millisecond (NioIoHandler.select) and calls the selector without waiting for what is left, up to 0.5 ms ahead of each timer. EventLoopMonitor, through which the loop waits, passed that on. On a share of a core all of that is time which callers wait.

Change: the loop is told the time until its next timer rounded up to whole milliseconds. A timer may be late by up to a millisecond, the shortest that decides anything being 5 ms.

--- a/src/main/java/cranedeal/node/EventLoopMonitor.java
+++ b/src/main/java/cranedeal/node/EventLoopMonitor.java
@@ -10,8 +10,9 @@
 
 /**
  * Watches how late an event loop is. An event that becomes ready while the loop is busy waits, unread, until
- * the next call to the selector; this class bounds that wait and counts iterations by their duration. It is
- * used on the thread of its event loop only.
+ * the next call to the selector; this class bounds that wait and counts iterations by their duration. So that
+ * it can, it also has a say in when the loop waits and for how long. It is used on the thread of its event
+ * loop only.
  */
 final class EventLoopMonitor {
 
@@ -134,6 +135,11 @@
         selectedAt = nanoTime.getAsLong();
     }
 
+    private static long roundUpToMillis(long nanos) {
+        return nanos > Long.MAX_VALUE - NANOS_PER_MS ? nanos
+                : (nanos + NANOS_PER_MS - 1) / NANOS_PER_MS * NANOS_PER_MS;
+    }
+
     /** Passes everything on, and tells the monitor when the loop calls the selector and when that returns. */
     private final class WatchedHandler implements IoHandler {
 
@@ -203,9 +209,13 @@
             return blocked && context.canBlock();
         }
 
+        /**
+         * Netty waits for a timer in whole milliseconds, the nearest, and calls the selector over and over
+         * for the rest of the time. Rounded up, the wait ends when the timer is due.
+         */
         @Override
         public long delayNanos(long now) {
-            return context.delayNanos(now);
+            return roundUpToMillis(context.delayNanos(now));
         }
 
         @Override
--- a/src/test/java/cranedeal/node/EventLoopMonitorTest.java
+++ b/src/test/java/cranedeal/node/EventLoopMonitorTest.java
@@ -1,13 +1,20 @@
 package cranedeal.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoRegistration;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Bounds of waits and the durations of iterations, on a clock that the test moves. */
 class EventLoopMonitorTest {
@@ -105,6 +112,31 @@
         assertEquals(new EventLoopMonitor.Report(1, 0, 0, 0), monitor.report());
     }
 
+    /** The iterations that a loop takes for timers, one after another, each so many microseconds later. */
+    private static long iterationsFor(int timers, long micros) throws Exception {
+        EventLoopMonitor watching = new EventLoopMonitor(System::nanoTime);
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, watching.watch(NioIoHandler.newFactory()));
+        try {
+            EventLoop loop = group.next();
+            long before = loop.submit(watching::iteration).get();
+            for (int i = 0; i < timers; i++) {
+                loop.schedule(() -> { }, micros, TimeUnit.MICROSECONDS).sync();
+            }
+            return loop.submit(watching::iteration).get() - before;
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {300, 1_300})
+    void aLoopThatWaitsForATimerDoesNotSpin(long micros) throws Exception {
+        int timers = 200;
+        long iterations = iterationsFor(timers, micros);
+        // To set it wakes the loop up, it is due, and it may be found to be due a little early.
+        assertTrue(iterations <= 4 * timers, iterations + " iterations for " + timers + " timers");
+    }
+
     /**
      * As the handlers of Netty: waits only if it may, asks whether to measure the time as soon as the
      * selector has returned, and tells how many events it has handled.
