--- a/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
@@ -59,7 +59,7 @@
 
   private final Frontend frontend;
   private final RequestDispatcher dispatcher;
-  private final EventLoopMonitor monitor;
+  private final ArrivalTimeEstimate arrivalTime;
   private final Channel channel;
   private final ClientRequestDecoder decoder = new ClientRequestDecoder(this::onFirstByte);
   private final RequestAssembler assembler;
@@ -68,12 +68,6 @@
   private final ResponseWriter responseWriter;
   private final LingeringClose lingeringClose;
 
-  /** The earliest time at which the client may have connected; the accept may have come later. */
-  private final double earliestConnectAtMillis;
-
-  /** The number of the event loop's iteration that accepted the connection. */
-  private final long acceptIteration;
-
   private State state = State.SERVING;
 
   /** Answered after the requests before it, and input after it is discarded; null if none. */
@@ -89,15 +83,12 @@
       Frontend frontend, RequestDispatcher dispatcher, EventLoopMonitor monitor, Channel channel) {
     this.frontend = frontend;
     this.dispatcher = dispatcher;
-    this.monitor = monitor;
     this.channel = channel;
-    assembler = new RequestAssembler(channel);
+    arrivalTime = new ArrivalTimeEstimate(dispatcher, monitor);
     pipeline = new RequestPipeline(frontend.pipelineBudget());
     currentRequest = new CurrentRequest(frontend, dispatcher, this);
     responseWriter = new ResponseWriter(channel, this::onAllWritten);
     lingeringClose = new LingeringClose(channel, decoder);
-    earliestConnectAtMillis = earliestArrivalOfPendingEvents();
-    acceptIteration = monitor.iterationCount();
     lastActivityAtMillis = dispatcher.now();
   }
 
@@ -247,7 +238,7 @@
 
   /** Adds a request; "too many requests sent ahead" means that the pipeline is over its limit. */
   private void enqueue(FullHttpRequest request) throws BadRequestException {
-    pipeline.add(request, earliestArrivalOfReadBytes());
+    pipeline.add(request, arrivalTime.earliestArrivalOfReadBytes());
     if (pipeline.isOverLimit(currentRequest.isPresent())) {
       // Abandons the request in flight, or the error could be delayed until that one's deadline.
       pipeline.clear();
@@ -256,20 +247,6 @@
     }
   }
 
-  /**
-   * The earliest time at which the bytes that are read now may have arrived; a request's deadline
-   * counts from then. Bytes read in the iteration of the accept, or in the next, may have arrived
-   * as early as the connection, which may have waited to be accepted.
-   */
-  private double earliestArrivalOfReadBytes() {
-    boolean justAccepted = monitor.iterationCount() - acceptIteration <= 1;
-    return justAccepted ? earliestConnectAtMillis : earliestArrivalOfPendingEvents();
-  }
-
-  private double earliestArrivalOfPendingEvents() {
-    return dispatcher.now() - monitor.longestWaitMillis();
-  }
-
   /** Processes requests only after the read: if they are too many, none is forwarded. */
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
