Limit the heap that heads of messages occupy; end the process if its event loop ends

Cause: Netty's decoder limits the text of a head, not the objects that it creates, about 150 bytes for each field, and nothing counted them over all connections. The OutOfMemoryError ended the thread of the event loop, which nothing watched. Complete requests that wait on their connection, trailers and heads of responses were not counted either.

Change: MemoryBudget limits the heap of heads to a quarter of the maximum heap; HeadMemory reserves from it for each field before it is stored. If the budget is used up, the oldest request received in part gives way with 503.

--- a/src/main/java/loadbalancer/proxy/Main.java
+++ b/src/main/java/loadbalancer/proxy/Main.java
@@ -49,6 +49,7 @@
     reloadOnHangup(startedServer);
     try {
       ProxyServer server = ProxyServer.prepare(ProxyConfig.read(System.getenv(CONFIG_VARIABLE)));
+      exitIfEventLoopTerminates(server);
       serveUntilShutdown(server);
       startedServer.complete(server);
     } catch (ConfigurationException e) {
@@ -78,6 +79,18 @@
     }
   }
 
+  /**
+   * Ends the process with status 1 if the event loop ends, as after an error in Netty: the process
+   * would otherwise accept connections and never answer. A graceful shutdown would be of no use.
+   */
+  static void exitIfEventLoopTerminates(ProxyServer server) {
+    server.onEventLoopTerminated(
+        () -> {
+          ProxyLogger.LOGGER.severe("event loop terminated, ending the process");
+          Runtime.getRuntime().halt(EXIT_FAILURE);
+        });
+  }
+
   private static void shutDownGracefully(ProxyServer server) {
     try {
       server.shutDownGracefully();
--- a/src/main/java/loadbalancer/proxy/ProxyServer.java
+++ b/src/main/java/loadbalancer/proxy/ProxyServer.java
@@ -22,6 +22,7 @@
 import loadbalancer.proxy.frontend.Frontend;
 import loadbalancer.proxy.logging.LogRateLimiter;
 import loadbalancer.proxy.logging.ProxyLogger;
+import loadbalancer.proxy.memory.MemoryBudgets;
 import loadbalancer.proxy.upstream.UpstreamClient;
 
 /**
@@ -83,7 +84,9 @@
     ProxyLogger.LOGGER.setFilter(new LogRateLimiter(clock::now));
     PooledByteBufAllocator allocator = newAllocator();
     DescriptorBudget descriptors = new DescriptorBudget(config.maxDescriptors());
-    upstreams = new UpstreamClient(loop, clock, config.settings(), descriptors, allocator);
+    MemoryBudgets memoryBudgets = MemoryBudgets.ofProcess();
+    upstreams =
+        new UpstreamClient(loop, clock, config.settings(), descriptors, memoryBudgets, allocator);
     driver =
         new PolicyDriver(
             config,
@@ -100,7 +103,7 @@
                     listener,
                     () -> descriptors.evictIdleConnections(clock.now()),
                     DiscoveryClient.MAX_WATCH_MILLIS));
-    frontend = new Frontend(loop, config, descriptors, allocator, driver, monitor);
+    frontend = new Frontend(loop, config, descriptors, memoryBudgets, allocator, driver, monitor);
   }
 
   private static PooledByteBufAllocator newAllocator() {
@@ -253,6 +256,11 @@
     loop.execute(() -> driver.reconfigure(newConfig));
   }
 
+  /** Runs an action if the event loop ends, after which nothing is answered any more. */
+  void onEventLoopTerminated(Runnable action) {
+    loop.terminationFuture().addListener(terminated -> action.run());
+  }
+
   /** For tests: runs an action on the event loop and returns its result. */
   public <T> T onLoop(BiFunction<Frontend, UpstreamClient, T> action) throws InterruptedException {
     return loop.submit(() -> action.apply(frontend, upstreams)).sync().getNow();
--- a/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
@@ -20,6 +20,8 @@
 import loadbalancer.proxy.eventloop.EventLoopMonitor;
 import loadbalancer.proxy.frontend.RequestPipeline.PipelinedRequest;
 import loadbalancer.proxy.logging.ProxyLogger;
+import loadbalancer.proxy.memory.HeadMemory;
+import loadbalancer.proxy.memory.MemoryBudgets;
 
 /**
  * One client connection. One request at a time is in flight; pipelined requests wait until it has
@@ -61,7 +63,7 @@
   private final RequestDispatcher dispatcher;
   private final ArrivalTimeEstimate arrivalTime;
   private final Channel channel;
-  private final ClientRequestDecoder decoder = new ClientRequestDecoder(this::onFirstByte);
+  private final ClientRequestDecoder decoder;
   private final RequestAssembler assembler;
   private final RequestPipeline pipeline;
   private final CurrentRequest currentRequest;
@@ -85,6 +87,10 @@
     this.dispatcher = dispatcher;
     this.channel = channel;
     arrivalTime = new ArrivalTimeEstimate(dispatcher, monitor);
+    MemoryBudgets budgets = frontend.memoryBudgets();
+    HeadMemory headMemory = new HeadMemory(budgets.heads(), this::evictPartialRequest);
+    decoder = new ClientRequestDecoder(this::onFirstByte, headMemory);
+    assembler = new RequestAssembler(channel, budgets, headMemory);
     pipeline = new RequestPipeline(frontend.pipelineBudget());
     currentRequest = new CurrentRequest(frontend, dispatcher, this);
     responseWriter = new ResponseWriter(channel, this::onAllWritten);
@@ -153,6 +159,12 @@
     processNext();
   }
 
+  /** Rejects a request received in part, as its memory is needed for other requests. */
+  private void evictPartialRequest() {
+    onProtocolViolation(RequestHeadValidator.noMemoryLeft());
+    processNext();
+  }
+
   /**
    * Reads all that the kernel holds: a disconnect shows only after the bytes sent before it. A
    * client that keeps sending beyond {@link #MAX_UNREAD_BYTES} counts as connected. While a request
@@ -256,6 +268,10 @@
 
   private void onProtocolViolation(BadRequestException violation) {
     protocolViolation = violation;
+    discardInput();
+  }
+
+  private void discardInput() {
     decoder.discardInput();
     assembler.reset();
   }
@@ -324,6 +340,7 @@
   private void write(HttpResponseStatus status, ByteBuf body, double retryAfterMillis) {
     if (isLastResponse()) {
       state = State.WRITING_LAST_RESPONSE;
+      discardInput();
     }
     currentRequest.finish();
     hasResponded = true;
--- a/src/main/java/loadbalancer/proxy/frontend/ClientRequestDecoder.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ClientRequestDecoder.java
@@ -1,14 +1,18 @@
 package loadbalancer.proxy.frontend;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import loadbalancer.proxy.memory.HeadMemory;
 
 /**
  * Decodes requests and keeps track of whether one has been received in part. After a protocol
@@ -23,6 +27,8 @@
   private static final long DISCARD_PAUSE_MILLIS = 40;
 
   private final Runnable onFirstByte;
+  private final HeadMemory headMemory;
+
   private boolean partialRequest;
   private boolean discarding;
 
@@ -35,9 +41,11 @@
    * Creates a decoder.
    *
    * @param onFirstByte called when the first byte of a request has been received
+   * @param headMemory counts the memory of the head that is being received
    */
-  ClientRequestDecoder(Runnable onFirstByte) {
+  ClientRequestDecoder(Runnable onFirstByte, HeadMemory headMemory) {
     this.onFirstByte = onFirstByte;
+    this.headMemory = headMemory;
   }
 
   /** Whether bytes have been received since the last complete request. */
@@ -50,9 +58,25 @@
     return receivedBytes;
   }
 
-  /** From now on, input is discarded without being decoded. */
+  /**
+   * From now on, input is discarded without being decoded. What has been decoded of an incomplete
+   * request is dropped at once, since the connection may stay open for some time.
+   */
   void discardInput() {
-    discarding = true;
+    if (!discarding) {
+      discarding = true;
+      reset();
+      resetNow();
+    }
+  }
+
+  /** Makes Netty's decoder carry out the reset, which it does when it is called the next time. */
+  private void resetNow() {
+    try {
+      super.decode(null, Unpooled.EMPTY_BUFFER, new ArrayList<>());
+    } catch (Exception e) {
+      throw new IllegalStateException("the decoder failed without input", e);
+    }
   }
 
   @Override
@@ -87,12 +111,25 @@
 
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+    if (discarding) {
+      in.skipBytes(in.readableBytes());
+      return;
+    }
+    int readableBefore = in.readableBytes();
     super.decode(ctx, in, out);
+    headMemory.countDecoded(readableBefore - in.readableBytes(), out);
     if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
       partialRequest = in.isReadable();
     }
   }
 
+  /** Called for each header field of a head or a trailer, before it is stored. */
+  @Override
+  protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+    headMemory.reserveField();
+    return super.splitHeaderName(line, start, length);
+  }
+
   /** Rejects the request; by default Netty ignores its Content-Length and accepts it. */
   @Override
   protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
--- a/src/main/java/loadbalancer/proxy/frontend/Frontend.java
+++ b/src/main/java/loadbalancer/proxy/frontend/Frontend.java
@@ -23,6 +23,7 @@
 import loadbalancer.proxy.eventloop.DescriptorBudget;
 import loadbalancer.proxy.eventloop.EventLoopMonitor;
 import loadbalancer.proxy.logging.ProxyLogger;
+import loadbalancer.proxy.memory.MemoryBudgets;
 
 /**
  * Accepts client connections, enforces their timeouts and closes them at shutdown, so that a client
@@ -46,6 +47,7 @@
   private final EventLoop loop;
   private final ProxyConfig config;
   private final DescriptorBudget descriptors;
+  private final MemoryBudgets memoryBudgets;
   private final ByteBufAllocator allocator;
   private final RequestDispatcher dispatcher;
   private final EventLoopMonitor monitor;
@@ -69,6 +71,7 @@
    *
    * @param loop the event loop of all connections
    * @param descriptors limits the number of accepted connections
+   * @param memoryBudgets limit the memory of requests
    * @param dispatcher receives the validated requests
    * @param monitor measures how late {@code loop} is
    */
@@ -76,12 +79,14 @@
       EventLoop loop,
       ProxyConfig config,
       DescriptorBudget descriptors,
+      MemoryBudgets memoryBudgets,
       ByteBufAllocator allocator,
       RequestDispatcher dispatcher,
       EventLoopMonitor monitor) {
     this.loop = loop;
     this.config = config;
     this.descriptors = descriptors;
+    this.memoryBudgets = memoryBudgets;
     this.allocator = allocator;
     this.dispatcher = dispatcher;
     this.monitor = monitor;
@@ -255,6 +260,10 @@
     return pipelineBudget;
   }
 
+  MemoryBudgets memoryBudgets() {
+    return memoryBudgets;
+  }
+
   /** Validates a request that may have arrived as early as the given time. */
   ValidatedRequest validate(FullHttpRequest request, double arrivedAtMillis)
       throws BadRequestException {
--- a/src/main/java/loadbalancer/proxy/frontend/RequestAssembler.java
+++ b/src/main/java/loadbalancer/proxy/frontend/RequestAssembler.java
@@ -3,19 +3,26 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
+import loadbalancer.proxy.memory.HeadMemory;
+import loadbalancer.proxy.memory.MemoryBudgets;
 import loadbalancer.proxy.protocol.ProtocolHeaders;
 
-/** Assembles a complete request from its head and the chunks of its body. */
+/**
+ * Assembles a complete request from its head and the chunks of its body. The memory of a complete
+ * request remains reserved until the request is released.
+ */
 final class RequestAssembler {
 
   private final Channel channel;
+  private final MemoryBudgets budgets;
+
+  /** The memory of the head of the request that is arriving. */
+  private final HeadMemory headMemory;
 
   /** The head of the request that is arriving; null between two requests. */
   private HttpRequest head;
@@ -23,8 +30,10 @@
   /** The part of its body that has been received; null between two requests. */
   private ByteBuf body;
 
-  RequestAssembler(Channel channel) {
+  RequestAssembler(Channel channel, MemoryBudgets budgets, HeadMemory headMemory) {
     this.channel = channel;
+    this.budgets = budgets;
+    this.headMemory = headMemory;
   }
 
   /** Validates the head of a request and begins to assemble the request. */
@@ -45,7 +54,7 @@
       return Optional.empty();
     }
     if (!content.decoderResult().isSuccess()) {
-      throw new BadRequestException("malformed HTTP");
+      throw RequestHeadValidator.malformed(content.decoderResult().cause());
     }
     appendToBody(content.content());
     return content instanceof LastHttpContent ? Optional.of(complete()) : Optional.empty();
@@ -64,14 +73,9 @@
   }
 
   private FullHttpRequest complete() {
+    long headBytes = headMemory.detach();
     FullHttpRequest request =
-        new DefaultFullHttpRequest(
-            head.protocolVersion(),
-            head.method(),
-            head.uri(),
-            body,
-            head.headers(),
-            EmptyHttpHeaders.INSTANCE);
+        new CountedRequest(head, body, () -> budgets.heads().release(headBytes));
     head = null;
     body = null;
     return request;
@@ -84,5 +88,6 @@
     }
     body = null;
     head = null;
+    headMemory.release();
   }
 }
--- a/src/main/java/loadbalancer/proxy/frontend/RequestHeadValidator.java
+++ b/src/main/java/loadbalancer/proxy/frontend/RequestHeadValidator.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import java.util.regex.Pattern;
+import loadbalancer.proxy.memory.MemoryExhaustedException;
 import loadbalancer.proxy.protocol.ProtocolHeaders;
 
 /**
@@ -47,8 +48,17 @@
         HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
   }
 
-  /** The error for a head that Netty's decoder refused; its status depends on the reason. */
-  private static BadRequestException malformed(Throwable cause) {
+  /** The error for a request for which a memory budget has no room. */
+  static BadRequestException noMemoryLeft() {
+    return new BadRequestException(
+        HttpResponseStatus.SERVICE_UNAVAILABLE, "no memory left for the request");
+  }
+
+  /** The error for a head or a chunk that the decoder refused; its status depends on the reason. */
+  static BadRequestException malformed(Throwable cause) {
+    if (cause instanceof MemoryExhaustedException) {
+      return noMemoryLeft();
+    }
     HttpResponseStatus status = HttpResponseStatus.BAD_REQUEST;
     if (cause instanceof TooLongHttpLineException) {
       status = HttpResponseStatus.REQUEST_URI_TOO_LONG;
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamClient.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamClient.java
@@ -14,6 +14,7 @@
 import loadbalancer.proxy.discovery.EndpointListUpdate;
 import loadbalancer.proxy.eventloop.Clock;
 import loadbalancer.proxy.eventloop.DescriptorBudget;
+import loadbalancer.proxy.memory.MemoryBudgets;
 
 /**
  * Sends attempts and health checks to endpoints and reports the outcome of each. Retries are the
@@ -63,13 +64,15 @@
       Clock clock,
       PolicySettings settings,
       DescriptorBudget descriptorBudget,
+      MemoryBudgets memoryBudgets,
       ByteBufAllocator allocator) {
     this.loop = loop;
     this.clock = clock;
     this.settings = settings;
     pool = new ConnectionPool(clock, settings, options);
     connector =
-        new UpstreamConnector(loop, clock, settings, descriptorBudget, allocator, pool, options);
+        new UpstreamConnector(
+            loop, clock, settings, descriptorBudget, memoryBudgets, allocator, pool, options);
     descriptorBudget.onEvictUpstream(pool::evictLongestIdle);
     loop.scheduleAtFixedRate(
         this::sweep, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnection.java
@@ -17,6 +17,8 @@
 import java.util.OptionalDouble;
 import loadbalancer.proxy.discovery.EndpointListUpdate.Entry;
 import loadbalancer.proxy.eventloop.DescriptorBudget;
+import loadbalancer.proxy.memory.HeadMemory;
+import loadbalancer.proxy.memory.MemoryBudgets;
 import loadbalancer.proxy.protocol.ProtocolHeaders;
 
 /**
@@ -31,7 +33,8 @@
 
   private final Channel channel;
   private final ConnectionPool pool;
-  private final UpstreamResponseDecoder decoder = new UpstreamResponseDecoder(this);
+  private final HeadMemory headMemory;
+  private final UpstreamResponseDecoder decoder;
   private final ResponseStallDetector stallDetector;
 
   /** When the connection last became idle; empty until it is first pooled. */
@@ -49,9 +52,11 @@
   /** The number of 1xx responses to the current request. */
   private int interimResponses;
 
-  UpstreamConnection(Channel channel, ConnectionPool pool) {
+  UpstreamConnection(Channel channel, ConnectionPool pool, MemoryBudgets memoryBudgets) {
     this.channel = channel;
     this.pool = pool;
+    headMemory = new HeadMemory(memoryBudgets.heads());
+    decoder = new UpstreamResponseDecoder(this, headMemory);
     stallDetector = new ResponseStallDetector(channel.eventLoop(), this::protocolViolation);
   }
 
@@ -158,6 +163,14 @@
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
     messageCompleted();
+    try {
+      handle(response);
+    } finally {
+      headMemory.release();
+    }
+  }
+
+  private void handle(FullHttpResponse response) {
     if (attempt != null && !channel.isActive()) {
       // Only the end of the connection completed this response, so it may be truncated, as by a
       // crash of the endpoint.
@@ -219,6 +232,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     stallDetector.cancel();
+    headMemory.release();
     if (endpoint != null) {
       endpoint.removeIdle(this);
     }
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnector.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnector.java
@@ -13,6 +13,7 @@
 import loadbalancer.proxy.discovery.EndpointListUpdate.Entry;
 import loadbalancer.proxy.eventloop.Clock;
 import loadbalancer.proxy.eventloop.DescriptorBudget;
+import loadbalancer.proxy.memory.MemoryBudgets;
 
 /**
  * Opens connections to endpoints within the descriptor budget. Used on the event loop thread only.
@@ -21,6 +22,7 @@
 
   private final Clock clock;
   private final DescriptorBudget descriptorBudget;
+  private final MemoryBudgets memoryBudgets;
   private final ConnectionPool pool;
   private final double connectTimeoutMillis;
   private final Bootstrap bootstrap;
@@ -32,11 +34,13 @@
       Clock clock,
       PolicySettings settings,
       DescriptorBudget descriptorBudget,
+      MemoryBudgets memoryBudgets,
       ByteBufAllocator allocator,
       ConnectionPool pool,
       UpstreamClientOptions options) {
     this.clock = clock;
     this.descriptorBudget = descriptorBudget;
+    this.memoryBudgets = memoryBudgets;
     this.pool = pool;
     connectTimeoutMillis = settings.limits().connectTimeoutMillis();
     bootstrap =
@@ -50,12 +54,16 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    new UpstreamConnection(channel, UpstreamConnector.this.pool).addToPipeline();
+                    newConnection(channel).addToPipeline();
                   }
                 });
     useOptions(options);
   }
 
+  private UpstreamConnection newConnection(Channel channel) {
+    return new UpstreamConnection(channel, pool, memoryBudgets);
+  }
+
   /** Replaces the options and discards the measured connect times. */
   void useOptions(UpstreamClientOptions options) {
     connectTimeEstimate =
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamResponseDecoder.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamResponseDecoder.java
@@ -7,6 +7,8 @@
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import loadbalancer.proxy.memory.HeadMemory;
 
 /**
  * An HTTP response decoder that checks the received bytes before Netty's decoder gets them. Netty's
@@ -32,12 +34,14 @@
   private static final byte[] VERSION_PREFIX = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
   private final Connection connection;
+  private final HeadMemory headMemory;
 
   /** How many bytes of the version prefix the current response has matched so far. */
   private int matchedPrefixBytes;
 
-  UpstreamResponseDecoder(Connection connection) {
+  UpstreamResponseDecoder(Connection connection, HeadMemory headMemory) {
     this.connection = connection;
+    this.headMemory = headMemory;
   }
 
   @Override
@@ -80,9 +84,17 @@
     return actualReadableBytes() > 0;
   }
 
+  @Override
+  protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+    int readableBefore = in.readableBytes();
+    super.decode(ctx, in, out);
+    headMemory.countDecoded(readableBefore - in.readableBytes(), out);
+  }
+
   /** Rejects a header line without a colon, which Netty would accept as a name without a value. */
   @Override
   protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+    headMemory.reserveField();
     if (line[start + length] != ':') {
       throw new IllegalArgumentException("response header line has no colon after the header name");
     }
