Limit the memory of bodies, and keep no receive buffer for a piece of a response

Cause: the direct memory, 40 MB, was used up, and the JDK lets the allocating thread, here the event loop, sleep for half a second each time. HttpObjectAggregator keeps each piece as a slice of its receive buffer, which grows to 64 KiB: a piece of 100 bytes keeps up to that.

Change: CompactingAggregator copies the pieces (also those of lists from discovery); receive buffers have at most 8 KiB; a budget of bodies, three quarters of the direct memory, is asked before an attempt is sent (64 KiB for its response) and as the body of a request grows. If it is used up, the oldest request received in part gives way with 503. A failed allocation is no longer taken for an invalid response. New log line "memory limit reached".

--- a/src/main/java/loadbalancer/model/AttemptOutcome.java
+++ b/src/main/java/loadbalancer/model/AttemptOutcome.java
@@ -21,8 +21,8 @@
   /** Cancelled by this instance. The request may have run. */
   CANCELLED,
   /**
-   * The request never left this instance: no file descriptor, attempt or time was left, or the
-   * client had disconnected. The request had no effect.
+   * The request never left this instance: no file descriptor, memory, attempt or time was left, or
+   * the client had disconnected. The request had no effect.
    */
   NOT_SENT;
 
--- a/src/main/java/loadbalancer/proxy/ProxyServer.java
+++ b/src/main/java/loadbalancer/proxy/ProxyServer.java
@@ -23,6 +23,7 @@
 import loadbalancer.proxy.logging.LogRateLimiter;
 import loadbalancer.proxy.logging.ProxyLogger;
 import loadbalancer.proxy.memory.MemoryBudgets;
+import loadbalancer.proxy.memory.MemoryLimitReport;
 import loadbalancer.proxy.upstream.UpstreamClient;
 
 /**
@@ -58,7 +59,7 @@
 
   private static final long SHUTDOWN_POLL_MILLIS = 10;
 
-  private static final long LATENESS_REPORT_INTERVAL_MILLIS = 5_000;
+  private static final long REPORT_INTERVAL_MILLIS = 5_000;
 
   /** An interval is reported only if an iteration of the event loop in it took longer than this. */
   private static final long LATENESS_REPORT_THRESHOLD_MILLIS = 100;
@@ -67,6 +68,8 @@
   private final EventLoop loop;
   private final EventLoopMonitor monitor;
   private final Clock clock = new Clock();
+  private final PooledByteBufAllocator allocator = newAllocator();
+  private final MemoryLimitReport memoryLimitReport;
   private final UpstreamClient upstreams;
   private final PolicyDriver driver;
   private final Frontend frontend;
@@ -82,9 +85,9 @@
     // Used by the event loop and the reload thread without a lock: a race can only make its count
     // of dropped log lines wrong.
     ProxyLogger.LOGGER.setFilter(new LogRateLimiter(clock::now));
-    PooledByteBufAllocator allocator = newAllocator();
     DescriptorBudget descriptors = new DescriptorBudget(config.maxDescriptors());
     MemoryBudgets memoryBudgets = MemoryBudgets.ofProcess();
+    memoryLimitReport = new MemoryLimitReport(memoryBudgets);
     upstreams =
         new UpstreamClient(loop, clock, config.settings(), descriptors, memoryBudgets, allocator);
     driver =
@@ -159,8 +162,13 @@
   private void start() {
     loop.scheduleAtFixedRate(
         this::reportLateness,
-        LATENESS_REPORT_INTERVAL_MILLIS,
-        LATENESS_REPORT_INTERVAL_MILLIS,
+        REPORT_INTERVAL_MILLIS,
+        REPORT_INTERVAL_MILLIS,
+        TimeUnit.MILLISECONDS);
+    loop.scheduleAtFixedRate(
+        this::reportMemoryLimit,
+        REPORT_INTERVAL_MILLIS,
+        REPORT_INTERVAL_MILLIS,
         TimeUnit.MILLISECONDS);
     driver.start();
   }
@@ -168,7 +176,7 @@
   /**
    * Logs the number of the event loop's iterations since the last report and how long they took,
    * see {@link EventLoopMonitor.Report}. The interval and the threshold of the report are {@link
-   * #LATENESS_REPORT_INTERVAL_MILLIS} and {@link #LATENESS_REPORT_THRESHOLD_MILLIS}.
+   * #REPORT_INTERVAL_MILLIS} and {@link #LATENESS_REPORT_THRESHOLD_MILLIS}.
    */
   private void reportLateness() {
     EventLoopMonitor.Report report = monitor.report();
@@ -185,6 +193,13 @@
     }
   }
 
+  /** Logs that requests or attempts were refused since the last report for lack of memory. */
+  private void reportMemoryLimit() {
+    memoryLimitReport
+        .next(allocator.metric().usedDirectMemory())
+        .ifPresent(ProxyLogger.LOGGER::warning);
+  }
+
   /**
    * Listens on the configured address and accepts clients from now on.
    *
--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryTransport.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryTransport.java
@@ -10,10 +10,10 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import java.net.InetSocketAddress;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import loadbalancer.proxy.memory.CompactingAggregator;
 
 /**
  * Opens connections to discovery and passes the responses to their calls. Used on the event loop
@@ -57,7 +57,7 @@
                         .pipeline()
                         .addLast(
                             new HttpClientCodec(),
-                            new HttpObjectAggregator(MAX_RESPONSE_BYTES),
+                            new CompactingAggregator(MAX_RESPONSE_BYTES),
                             new DiscoveryResponseHandler(DiscoveryTransport.this));
                   }
                 });
--- a/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
@@ -20,7 +20,6 @@
 import loadbalancer.proxy.eventloop.EventLoopMonitor;
 import loadbalancer.proxy.frontend.RequestPipeline.PipelinedRequest;
 import loadbalancer.proxy.logging.ProxyLogger;
-import loadbalancer.proxy.memory.HeadMemory;
 import loadbalancer.proxy.memory.MemoryBudgets;
 
 /**
@@ -88,12 +87,11 @@
     this.channel = channel;
     arrivalTime = new ArrivalTimeEstimate(dispatcher, monitor);
     MemoryBudgets budgets = frontend.memoryBudgets();
-    HeadMemory headMemory = new HeadMemory(budgets.heads(), this::evictPartialRequest);
-    decoder = new ClientRequestDecoder(this::onFirstByte, headMemory);
-    assembler = new RequestAssembler(channel, budgets, headMemory);
+    assembler = new RequestAssembler(channel, budgets, this::evictPartialRequest);
+    decoder = new ClientRequestDecoder(this::onFirstByte, assembler.headMemory());
     pipeline = new RequestPipeline(frontend.pipelineBudget());
     currentRequest = new CurrentRequest(frontend, dispatcher, this);
-    responseWriter = new ResponseWriter(channel, this::onAllWritten);
+    responseWriter = new ResponseWriter(channel, budgets.bodies(), this::onAllWritten);
     lingeringClose = new LingeringClose(channel, decoder);
     lastActivityAtMillis = dispatcher.now();
   }
--- a/src/main/java/loadbalancer/proxy/frontend/Frontend.java
+++ b/src/main/java/loadbalancer/proxy/frontend/Frontend.java
@@ -24,6 +24,7 @@
 import loadbalancer.proxy.eventloop.EventLoopMonitor;
 import loadbalancer.proxy.logging.ProxyLogger;
 import loadbalancer.proxy.memory.MemoryBudgets;
+import loadbalancer.proxy.memory.ReceiveBuffers;
 
 /**
  * Accepts client connections, enforces their timeouts and closes them at shutdown, so that a client
@@ -108,6 +109,7 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .handler(new AcceptFailureHandler())
             .childOption(ChannelOption.ALLOCATOR, allocator)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, ReceiveBuffers.newAllocator())
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new ConnectionInitializer());
     var bindFuture = bootstrap.bind(config.listen()).await();
--- a/src/main/java/loadbalancer/proxy/frontend/RequestAssembler.java
+++ b/src/main/java/loadbalancer/proxy/frontend/RequestAssembler.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import loadbalancer.proxy.memory.HeadMemory;
 import loadbalancer.proxy.memory.MemoryBudgets;
+import loadbalancer.proxy.memory.MemoryReservation;
 import loadbalancer.proxy.protocol.ProtocolHeaders;
 
 /**
@@ -24,16 +25,30 @@
   /** The memory of the head of the request that is arriving. */
   private final HeadMemory headMemory;
 
+  /** The memory of its body. */
+  private final MemoryReservation bodyMemory;
+
   /** The head of the request that is arriving; null between two requests. */
   private HttpRequest head;
 
   /** The part of its body that has been received; null between two requests. */
   private ByteBuf body;
 
-  RequestAssembler(Channel channel, MemoryBudgets budgets, HeadMemory headMemory) {
+  /**
+   * Creates the assembler of one connection.
+   *
+   * @param onEvict called when the memory of an incomplete request is needed for others; has to
+   *     call {@link #reset}
+   */
+  RequestAssembler(Channel channel, MemoryBudgets budgets, Runnable onEvict) {
     this.channel = channel;
     this.budgets = budgets;
-    this.headMemory = headMemory;
+    headMemory = new HeadMemory(budgets.heads(), onEvict);
+    bodyMemory = new MemoryReservation(budgets.bodies(), onEvict);
+  }
+
+  HeadMemory headMemory() {
+    return headMemory;
   }
 
   /** Validates the head of a request and begins to assemble the request. */
@@ -47,7 +62,8 @@
    * Appends a chunk of the body; the caller remains the one to release the chunk.
    *
    * @return the request if it is complete now; the caller has to release it
-   * @throws BadRequestException if the chunk is malformed or the body exceeds its limit
+   * @throws BadRequestException if the chunk is malformed, the body exceeds its limit, or no memory
+   *     is left for it
    */
   Optional<FullHttpRequest> append(HttpContent content) throws BadRequestException {
     if (head == null) {
@@ -61,21 +77,43 @@
   }
 
   private void appendToBody(ByteBuf chunk) throws BadRequestException {
-    if (body.readableBytes() + chunk.readableBytes() > ProtocolHeaders.MAX_BODY_BYTES) {
+    int newLength = body.readableBytes() + chunk.readableBytes();
+    if (newLength > ProtocolHeaders.MAX_BODY_BYTES) {
       throw RequestHeadValidator.bodyTooLarge();
     }
-    if (chunk.isReadable()) {
-      if (body.maxCapacity() == 0) {
-        body = channel.alloc().buffer(chunk.readableBytes(), ProtocolHeaders.MAX_BODY_BYTES);
-      }
-      body.writeBytes(chunk);
+    if (newLength > body.capacity()) {
+      growBody(newLength);
+    }
+    body.writeBytes(chunk);
+  }
+
+  private void growBody(int minCapacity) throws BadRequestException {
+    boolean firstChunk = body.capacity() == 0;
+    int newCapacity =
+        firstChunk
+            ? minCapacity
+            : channel.alloc().calculateNewCapacity(minCapacity, ProtocolHeaders.MAX_BODY_BYTES);
+    if (!bodyMemory.tryReserve(newCapacity - body.capacity())) {
+      throw RequestHeadValidator.noMemoryLeft();
+    }
+    if (firstChunk) {
+      body = channel.alloc().buffer(newCapacity, ProtocolHeaders.MAX_BODY_BYTES);
+    } else {
+      body.capacity(newCapacity);
     }
   }
 
   private FullHttpRequest complete() {
     long headBytes = headMemory.detach();
+    long bodyBytes = bodyMemory.detach();
     FullHttpRequest request =
-        new CountedRequest(head, body, () -> budgets.heads().release(headBytes));
+        new CountedRequest(
+            head,
+            body,
+            () -> {
+              budgets.heads().release(headBytes);
+              budgets.bodies().release(bodyBytes);
+            });
     head = null;
     body = null;
     return request;
@@ -89,5 +127,6 @@
     body = null;
     head = null;
     headMemory.release();
+    bodyMemory.release();
   }
 }
--- a/src/main/java/loadbalancer/proxy/frontend/ResponseWriter.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ResponseWriter.java
@@ -7,23 +7,27 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import loadbalancer.proxy.memory.MemoryBudget;
 import loadbalancer.proxy.protocol.ProtocolHeaders;
 
 /** Writes responses to one client and counts those not yet passed to the kernel completely. */
 final class ResponseWriter {
 
   private final Channel channel;
+  private final MemoryBudget bodyBudget;
   private final Runnable onAllWritten;
   private int pendingWrites;
 
   /**
    * Creates a writer.
    *
+   * @param bodyBudget counts the bodies that are not passed to the kernel completely
    * @param onAllWritten called when a write of a final response has succeeded or failed and no
    *     other is pending
    */
-  ResponseWriter(Channel channel, Runnable onAllWritten) {
+  ResponseWriter(Channel channel, MemoryBudget bodyBudget, Runnable onAllWritten) {
     this.channel = channel;
+    this.bodyBudget = bodyBudget;
     this.onAllWritten = onAllWritten;
   }
 
@@ -48,7 +52,8 @@
   void write(
       HttpResponseStatus status, ByteBuf body, double retryAfterMillis, boolean closesConnection) {
     FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
-    response.headers().set("Content-Length", body.readableBytes());
+    int bodyBytes = body.readableBytes();
+    response.headers().set("Content-Length", bodyBytes);
     if (retryAfterMillis > 0) {
       response
           .headers()
@@ -58,10 +63,12 @@
       response.headers().set("Connection", "close");
     }
     pendingWrites++;
-    channel.writeAndFlush(response).addListener(written -> onWritten());
+    bodyBudget.reserve(bodyBytes);
+    channel.writeAndFlush(response).addListener(written -> onWritten(bodyBytes));
   }
 
-  private void onWritten() {
+  private void onWritten(int bodyBytes) {
+    bodyBudget.release(bodyBytes);
     pendingWrites--;
     if (pendingWrites == 0) {
       onAllWritten.run();
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamAttempt.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamAttempt.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import loadbalancer.model.AttemptOutcome;
 import loadbalancer.proxy.eventloop.Clock;
+import loadbalancer.proxy.memory.MemoryBudget;
 import loadbalancer.proxy.protocol.ProtocolHeaders;
 
 /**
@@ -37,6 +38,10 @@
   private final Clock clock;
   private final ConnectionPool pool;
   private final UpstreamConnector connector;
+
+  /** Limits the memory of bodies, also of the response to this attempt. */
+  private final MemoryBudget bodyBudget;
+
   private final FullHttpRequest request;
   private final double deadlineMillis;
   private final UpstreamClient.Listener listener;
@@ -46,6 +51,10 @@
   private final List<Channel> openedChannels = new ArrayList<>(2);
 
   private State state = State.CONNECTING;
+
+  /** Whether memory is reserved for the body of the response. */
+  private boolean hasReservedMemory;
+
   private UpstreamEndpoint endpoint;
 
   /** The connection that carries the request; null until there is one. */
@@ -62,6 +71,7 @@
       Clock clock,
       ConnectionPool pool,
       UpstreamConnector connector,
+      MemoryBudget bodyBudget,
       FullHttpRequest request,
       double deadlineMillis,
       UpstreamClient.Listener listener) {
@@ -69,15 +79,24 @@
     this.clock = clock;
     this.pool = pool;
     this.connector = connector;
+    this.bodyBudget = bodyBudget;
     this.request = request;
     this.deadlineMillis = deadlineMillis;
     this.listener = listener;
     timeout = loop.schedule(this::timedOut, clock.nanosUntil(deadlineMillis), TimeUnit.NANOSECONDS);
   }
 
-  /** Sends the request to an endpoint over a pooled connection or a new one. */
+  /**
+   * Sends the request to an endpoint over a pooled connection or a new one, if there is memory for
+   * the longest response: one that has begun can't be refused any more.
+   */
   void start(UpstreamEndpoint targetEndpoint) {
     endpoint = targetEndpoint;
+    hasReservedMemory = bodyBudget.tryReserve(ProtocolHeaders.MAX_BODY_BYTES);
+    if (!hasReservedMemory) {
+      finish(AttemptOutcome.NOT_SENT, null);
+      return;
+    }
     UpstreamConnection pooled =
         pool.acquire(endpoint, ForwardedRequest.isRetryable(request)).orElse(null);
     if (pooled != null) {
@@ -222,7 +241,7 @@
     } else {
       List.copyOf(openedChannels).forEach(Channel::close);
     }
-    listener.attemptFinished(outcome, null);
+    notifyListener(outcome, null);
   }
 
   /** Called when the connection has delivered a complete final response. */
@@ -246,7 +265,17 @@
     if (state != State.DONE) {
       state = State.DONE;
       timeout.cancel(false);
+      notifyListener(outcome, response);
+    }
+  }
+
+  private void notifyListener(AttemptOutcome outcome, FullHttpResponse response) {
+    try {
       listener.attemptFinished(outcome, response);
+    } finally {
+      if (hasReservedMemory) {
+        bodyBudget.release(ProtocolHeaders.MAX_BODY_BYTES);
+      }
     }
   }
 }
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamClient.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamClient.java
@@ -14,6 +14,7 @@
 import loadbalancer.proxy.discovery.EndpointListUpdate;
 import loadbalancer.proxy.eventloop.Clock;
 import loadbalancer.proxy.eventloop.DescriptorBudget;
+import loadbalancer.proxy.memory.MemoryBudget;
 import loadbalancer.proxy.memory.MemoryBudgets;
 
 /**
@@ -56,6 +57,7 @@
   private final PolicySettings settings;
   private final ConnectionPool pool;
   private final UpstreamConnector connector;
+  private final MemoryBudget bodyBudget;
   private UpstreamClientOptions options = UpstreamClientOptions.DEFAULT;
 
   /** Creates a client without endpoints that runs on the given event loop. */
@@ -69,6 +71,7 @@
     this.loop = loop;
     this.clock = clock;
     this.settings = settings;
+    bodyBudget = memoryBudgets.bodies();
     pool = new ConnectionPool(clock, settings, options);
     connector =
         new UpstreamConnector(
@@ -99,7 +102,8 @@
   public UpstreamAttempt send(
       long endpointId, FullHttpRequest request, double deadlineMillis, Listener listener) {
     UpstreamAttempt attempt =
-        new UpstreamAttempt(loop, clock, pool, connector, request, deadlineMillis, listener);
+        new UpstreamAttempt(
+            loop, clock, pool, connector, bodyBudget, request, deadlineMillis, listener);
     pool.find(endpointId).ifPresentOrElse(attempt::start, attempt::endpointUnknown);
     return attempt;
   }
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnection.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -17,6 +16,7 @@
 import java.util.OptionalDouble;
 import loadbalancer.proxy.discovery.EndpointListUpdate.Entry;
 import loadbalancer.proxy.eventloop.DescriptorBudget;
+import loadbalancer.proxy.memory.CompactingAggregator;
 import loadbalancer.proxy.memory.HeadMemory;
 import loadbalancer.proxy.memory.MemoryBudgets;
 import loadbalancer.proxy.protocol.ProtocolHeaders;
@@ -31,6 +31,9 @@
   /** More 1xx responses than this to one request are a protocol violation. */
   private static final int MAX_INTERIM_RESPONSES = 16;
 
+  /** A body in more pieces than this is copied into one: each piece takes some heap. */
+  private static final int MAX_BODY_PIECES = 128;
+
   private final Channel channel;
   private final ConnectionPool pool;
   private final HeadMemory headMemory;
@@ -61,13 +64,13 @@
   }
 
   void addToPipeline() {
-    channel
-        .pipeline()
-        .addLast(
-            decoder,
-            new HttpRequestEncoder(),
-            new HttpObjectAggregator(ProtocolHeaders.MAX_BODY_BYTES),
-            this);
+    channel.pipeline().addLast(decoder, new HttpRequestEncoder(), newAggregator(), this);
+  }
+
+  private static CompactingAggregator newAggregator() {
+    CompactingAggregator aggregator = new CompactingAggregator(ProtocolHeaders.MAX_BODY_BYTES);
+    aggregator.setMaxCumulationBufferComponents(MAX_BODY_PIECES);
+    return aggregator;
   }
 
   /** Called when the connection that was opened for the given entry is established. */
@@ -244,11 +247,14 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    if (cause instanceof IOException || cause instanceof PrematureChannelClosureException) {
+    if (cause instanceof IOException
+        || cause instanceof PrematureChannelClosureException
+        || cause instanceof OutOfMemoryError) {
       // Closing calls channelInactive, which notifies the attempt.
       channel.close();
     } else {
-      // Not a lost connection: the endpoint has answered, but too much or not in HTTP.
+      // Not a lost connection or a lack of memory in this process: the endpoint has answered, but
+      // too much or not in HTTP.
       protocolViolation();
     }
   }
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnector.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnector.java
@@ -14,6 +14,7 @@
 import loadbalancer.proxy.eventloop.Clock;
 import loadbalancer.proxy.eventloop.DescriptorBudget;
 import loadbalancer.proxy.memory.MemoryBudgets;
+import loadbalancer.proxy.memory.ReceiveBuffers;
 
 /**
  * Opens connections to endpoints within the descriptor budget. Used on the event loop thread only.
@@ -48,6 +49,7 @@
             .group(loop)
             .channel(NioSocketChannel.class)
             .option(ChannelOption.ALLOCATOR, allocator)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, ReceiveBuffers.newAllocator())
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutMillis))
             .handler(
--- a/src/test/java/loadbalancer/proxy/MemoryLimitTest.java
+++ b/src/test/java/loadbalancer/proxy/MemoryLimitTest.java
@@ -7,6 +7,7 @@
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
+import loadbalancer.proxy.protocol.ProtocolHeaders;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -16,10 +17,23 @@
 @Timeout(120)
 class MemoryLimitTest {
 
+  /** With the budget of bodies, three quarters, room for 96 responses or for as many bodies. */
+  private static final String[] LITTLE_DIRECT_MEMORY = {
+    "-XX:+UseSerialGC", "-Xmx64m", "-XX:MaxDirectMemorySize=8m"
+  };
+
   private static final String[] SMALL_HEAP = {"-XX:+UseSerialGC", "-Xmx32m"};
   private static final String HEALTH_CHECK = "GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n";
   private static final int BAD_CLIENTS = 300;
 
+  private static final int CLIENTS_WITH_LONG_BODIES = 150;
+
+  /** A response arrives in pieces: all but its end, and then the end in four small ones. */
+  private static final int SMALL_PIECES = 4;
+
+  private static final int SMALL_PIECE_BYTES = 100;
+  private static final long PIECE_INTERVAL_MILLIS = 200;
+
   private static final int PIPELINING_CLIENTS = 64;
 
   /** As many as a client may send at once: one that is in flight and 15 that wait. */
@@ -129,4 +143,98 @@
       assertTrue(proxy.process.isAlive());
     }
   }
+
+  /**
+   * Guards against responses in pieces, each of which kept its receive buffer, and against bodies
+   * that use up the direct memory: the event loop then slept in the allocation for half a second at
+   * a time, and requests got no response.
+   */
+  @Test
+  void longBodiesAndResponsesInPiecesLeaveNoRequestWithoutResponse() throws Exception {
+    String body = "b".repeat(ProtocolHeaders.MAX_BODY_BYTES);
+    List<HttpPeer> clients = new ArrayList<>();
+    try (ProxyFixture fixture = new ProxyFixture();
+        ProxyProcess proxy = ProxyProcess.start(fixture, LITTLE_DIRECT_MEMORY)) {
+      proxy.connect().close();
+      startDaemon(() -> respondInPieces(fixture.upstreams.get(0), ProxyFixture.okResponse(body)));
+      for (int i = 0; i < CLIENTS_WITH_LONG_BODIES; i++) {
+        HttpPeer client = HttpPeer.connect(proxy.address);
+        clients.add(client);
+        String request = ProxyFixture.atMostOnceRequest("c" + i, body);
+        startDaemon(() -> writeUnlessClosed(client, request));
+      }
+      assertHealthy(proxy);
+      int served = 0;
+      for (HttpPeer client : clients) {
+        if (client.read().status() == 200) {
+          served++;
+        }
+      }
+      assertTrue(served > 0, "no request was served");
+    } finally {
+      for (HttpPeer client : clients) {
+        client.close();
+      }
+    }
+  }
+
+  /** Guards against clients that send nearly all of a long body and stay, in any number. */
+  @Test
+  void clientsThatStopInLongBodiesGiveWayToOthers() throws Exception {
+    List<HttpPeer> badClients = new ArrayList<>();
+    try (ProxyFixture fixture = new ProxyFixture();
+        ProxyProcess proxy = ProxyProcess.start(fixture, LITTLE_DIRECT_MEMORY)) {
+      proxy.connect().close();
+      String request =
+          ProxyFixture.atMostOnceRequest("1", "b".repeat(ProtocolHeaders.MAX_BODY_BYTES));
+      for (int i = 0; i < BAD_CLIENTS; i++) {
+        HttpPeer badClient = HttpPeer.connect(proxy.address);
+        badClients.add(badClient);
+        writeUnlessClosed(badClient, request.substring(0, request.length() - 1));
+      }
+      assertHealthy(proxy);
+      assertForwarded(proxy, fixture.upstreams.get(0));
+      for (HttpPeer badClient : badClients) {
+        assertErrorOrClose(badClient);
+      }
+      assertHealthy(proxy);
+    } finally {
+      for (HttpPeer badClient : badClients) {
+        badClient.close();
+      }
+    }
+  }
+
+  private static void startDaemon(Runnable task) {
+    Thread thread = new Thread(task);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** Responds to one request on each connection until the process ends. */
+  private static void respondInPieces(ScriptedListener upstream, String response) {
+    try {
+      while (true) {
+        HttpPeer connection = upstream.accept();
+        startDaemon(() -> respondInPieces(connection, response));
+      }
+    } catch (InterruptedException | AssertionError e) {
+      // No connection has been opened for a long time.
+    }
+  }
+
+  private static void respondInPieces(HttpPeer connection, String response) {
+    try {
+      connection.read();
+      int written = response.length() - SMALL_PIECES * SMALL_PIECE_BYTES;
+      connection.write(response.substring(0, written));
+      for (int i = 0; i < SMALL_PIECES; i++) {
+        Thread.sleep(PIECE_INTERVAL_MILLIS);
+        connection.write(response.substring(written, written + SMALL_PIECE_BYTES));
+        written += SMALL_PIECE_BYTES;
+      }
+    } catch (IOException | InterruptedException e) {
+      // The proxy has closed the connection.
+    }
+  }
 }
