Let complete requests with long heads hold little of the budget of heads

By calculation, six connections with 17 requests of 1,000 fields would have held all of the 16 MB for as long as their first requests were in flight, and others would have got 503. Not tried with a process.

Change: a complete request with over 32 fields keeps only the ten that are used; pipelined requests may hold five eighths of the budget together (PipelineBudget counted their bodies only).

Evidence: RequestMemoryTest, a request with 1,000 fields reserves under 16,000 bytes while it is in flight. MemoryLimitTest and FrontendTest pass.

--- a/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
@@ -239,7 +239,7 @@
       }
     }
     if (message instanceof HttpContent content) {
-      Optional<FullHttpRequest> complete = assembler.append(content);
+      Optional<CountedRequest> complete = assembler.append(content);
       if (complete.isPresent()) {
         enqueue(complete.get());
       }
@@ -247,7 +247,7 @@
   }
 
   /** Adds a request; "too many requests sent ahead" means that the pipeline is over its limit. */
-  private void enqueue(FullHttpRequest request) throws BadRequestException {
+  private void enqueue(CountedRequest request) throws BadRequestException {
     pipeline.add(request, arrivalTime.earliestArrivalOfReadBytes());
     if (pipeline.isOverLimit(currentRequest.isPresent())) {
       // Abandons the request in flight, or the error could be delayed until that one's deadline.
--- a/src/main/java/loadbalancer/proxy/frontend/Frontend.java
+++ b/src/main/java/loadbalancer/proxy/frontend/Frontend.java
@@ -53,7 +53,7 @@
   private final RequestDispatcher dispatcher;
   private final EventLoopMonitor monitor;
   private final RequestValidator validator;
-  private final PipelineBudget pipelineBudget = new PipelineBudget();
+  private final PipelineBudget pipelineBudget;
 
   /**
    * Open connections, the least recently used one first: ordered by the time of the last response,
@@ -88,6 +88,7 @@
     this.config = config;
     this.descriptors = descriptors;
     this.memoryBudgets = memoryBudgets;
+    pipelineBudget = new PipelineBudget(memoryBudgets.heads().limitBytes());
     this.allocator = allocator;
     this.dispatcher = dispatcher;
     this.monitor = monitor;
--- a/src/main/java/loadbalancer/proxy/frontend/RequestAssembler.java
+++ b/src/main/java/loadbalancer/proxy/frontend/RequestAssembler.java
@@ -3,8 +3,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
@@ -65,7 +65,7 @@
    * @throws BadRequestException if the chunk is malformed, the body exceeds its limit, or no memory
    *     is left for it
    */
-  Optional<FullHttpRequest> append(HttpContent content) throws BadRequestException {
+  Optional<CountedRequest> append(HttpContent content) throws BadRequestException {
     if (head == null) {
       return Optional.empty();
     }
@@ -103,17 +103,11 @@
     }
   }
 
-  private FullHttpRequest complete() {
-    long headBytes = headMemory.detach();
+  private CountedRequest complete() {
+    HttpHeaders headers = UsedHeaders.of(head.headers());
+    long headBytes = headMemory.detach(headers.size());
     long bodyBytes = bodyMemory.detach();
-    FullHttpRequest request =
-        new CountedRequest(
-            head,
-            body,
-            () -> {
-              budgets.heads().release(headBytes);
-              budgets.bodies().release(bodyBytes);
-            });
+    CountedRequest request = new CountedRequest(head, headers, body, budgets, headBytes, bodyBytes);
     head = null;
     body = null;
     return request;
--- a/src/main/java/loadbalancer/proxy/frontend/RequestPipeline.java
+++ b/src/main/java/loadbalancer/proxy/frontend/RequestPipeline.java
@@ -1,6 +1,5 @@
 package loadbalancer.proxy.frontend;
 
-import io.netty.handler.codec.http.FullHttpRequest;
 import java.util.ArrayDeque;
 
 /** The complete requests of one connection that wait until earlier ones have their responses. */
@@ -14,12 +13,7 @@
    * @param arrivedAtMillis the earliest time at which it may have arrived; its deadline counts from
    *     then, not from when its processing begins
    */
-  record PipelinedRequest(FullHttpRequest request, double arrivedAtMillis) {
-
-    private int bodyBytes() {
-      return request.content().readableBytes();
-    }
-  }
+  record PipelinedRequest(CountedRequest request, double arrivedAtMillis) {}
 
   private final ArrayDeque<PipelinedRequest> requests = new ArrayDeque<>();
   private final PipelineBudget budget;
@@ -33,10 +27,9 @@
   }
 
   /** Adds a request and takes ownership of one reference to it. */
-  void add(FullHttpRequest request, double arrivedAtMillis) {
-    PipelinedRequest added = new PipelinedRequest(request, arrivedAtMillis);
-    budget.reserve(added.bodyBytes());
-    requests.addLast(added);
+  void add(CountedRequest request, double arrivedAtMillis) {
+    budget.add(request);
+    requests.addLast(new PipelinedRequest(request, arrivedAtMillis));
   }
 
   /**
@@ -51,7 +44,7 @@
   PipelinedRequest poll() {
     PipelinedRequest next = requests.pollFirst();
     if (next != null) {
-      budget.release(next.bodyBytes());
+      budget.remove(next.request);
     }
     return next;
   }
@@ -59,7 +52,7 @@
   /** Discards all requests. */
   void clear() {
     for (PipelinedRequest dropped : requests) {
-      budget.release(dropped.bodyBytes());
+      budget.remove(dropped.request);
       dropped.request.release();
     }
     requests.clear();
--- a/src/main/java/loadbalancer/proxy/memory/HeadMemory.java
+++ b/src/main/java/loadbalancer/proxy/memory/HeadMemory.java
@@ -24,6 +24,7 @@
   /** The maximum length of the text of a head: Netty's limits of the first line and the rest. */
   private static final int MAX_TEXT_BYTES = 4_096 + 8_192;
 
+  private final MemoryBudget budget;
   private final MemoryReservation reservation;
   private int fields;
   private int textBytes;
@@ -33,6 +34,7 @@
 
   /** Creates the count of one connection, whose messages are received one after another. */
   public HeadMemory(MemoryBudget budget) {
+    this.budget = budget;
     reservation = new MemoryReservation(budget);
   }
 
@@ -43,6 +45,7 @@
    *     {@link #release}
    */
   public HeadMemory(MemoryBudget budget, Runnable onEvict) {
+    this.budget = budget;
     reservation = new MemoryReservation(budget, onEvict);
   }
 
@@ -99,10 +102,14 @@
   /**
    * Hands the memory of a complete message over to the caller, who has to release it to the budget,
    * and begins with the next message. Returns the number of bytes.
+   *
+   * @param keptFields how many of its header fields are kept; the memory of the others is released
    */
-  public long detach() {
+  public long detach(int keptFields) {
+    long droppedBytes = (long) Math.max(0, fields - keptFields) * FIELD_OVERHEAD_BYTES;
     reset();
-    return reservation.detach();
+    budget.release(droppedBytes);
+    return reservation.detach() - droppedBytes;
   }
 
   private void reset() {
--- a/src/test/java/loadbalancer/ArchitectureTest.java
+++ b/src/test/java/loadbalancer/ArchitectureTest.java
@@ -140,4 +140,21 @@
               "loadbalancer.proxy.upstream",
               "loadbalancer.proxy.discovery",
               "loadbalancer.proxy.config");
+
+  @ArchTest
+  static final ArchRule MEMORY_BUDGETS_DO_NOT_DEPEND_ON_OTHER_PARTS =
+      noClasses()
+          .that()
+          .resideInAPackage("loadbalancer.proxy.memory")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "loadbalancer.policy..",
+              "loadbalancer.model..",
+              "loadbalancer.proxy",
+              "loadbalancer.proxy.frontend",
+              "loadbalancer.proxy.upstream",
+              "loadbalancer.proxy.discovery",
+              "loadbalancer.proxy.eventloop",
+              "loadbalancer.proxy.config");
 }
--- a/src/test/java/loadbalancer/proxy/frontend/RequestMemoryTest.java
+++ b/src/test/java/loadbalancer/proxy/frontend/RequestMemoryTest.java
@@ -1,12 +1,20 @@
 package loadbalancer.proxy.frontend;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
 import loadbalancer.proxy.HttpPeer;
 import loadbalancer.proxy.ProxyFixture;
 import loadbalancer.proxy.ScriptedPolicy;
 import loadbalancer.proxy.memory.HeadMemory;
+import loadbalancer.proxy.memory.MemoryBudget;
+import loadbalancer.proxy.memory.MemoryBudgets;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -18,11 +26,25 @@
 
   private static final String HEALTH_CHECK = "GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n";
 
+  private static final int UNUSED_FIELDS = 1_000;
+
+  /** Far less than the objects of that many fields occupy. */
+  private static final long MAX_BYTES_WITHOUT_UNUSED_FIELDS = 16_000;
+
   private static long reservedHeadBytes(ProxyFixture fixture) throws Exception {
     return fixture.server.onLoop(
         (frontend, upstreams) -> frontend.memoryBudgets().heads().reservedBytes());
   }
 
+  private static long reservedBodyBytes(ProxyFixture fixture) throws Exception {
+    return fixture.server.onLoop(
+        (frontend, upstreams) -> frontend.memoryBudgets().bodies().reservedBytes());
+  }
+
+  private static long reservedBytes(ProxyFixture fixture) throws Exception {
+    return reservedHeadBytes(fixture) + reservedBodyBytes(fixture);
+  }
+
   /** Returns once the server has read all that clients sent before this call. */
   private static void awaitInputRead(ProxyFixture fixture) throws Exception {
     HttpPeer laterClient = fixture.connectClient();
@@ -33,10 +55,11 @@
 
   private static void awaitNothingReserved(ProxyFixture fixture) throws Exception {
     long giveUpAtNanos = System.nanoTime() + HttpPeer.TIMEOUT_MILLIS * 1_000_000L;
-    while (reservedHeadBytes(fixture) != 0 && System.nanoTime() < giveUpAtNanos) {
+    while (reservedBytes(fixture) != 0 && System.nanoTime() < giveUpAtNanos) {
       awaitInputRead(fixture);
     }
     assertEquals(0, reservedHeadBytes(fixture));
+    assertEquals(0, reservedBodyBytes(fixture));
   }
 
   @ParameterizedTest
@@ -110,4 +133,63 @@
       fixture.assertStillServes();
     }
   }
+
+  /** Guards against a few clients whose long heads are held and leave no memory for others. */
+  @Test
+  void requestInFlightKeepsOnlyHeaderFieldsThatAreUsed() throws Exception {
+    try (ProxyFixture fixture = new ProxyFixture().start()) {
+      HttpPeer client = fixture.connectClient();
+      String request = ProxyFixture.atMostOnceRequest("1", "body");
+      client.write(
+          request.replace(
+              "Content-Length", "a:\r\n".repeat(UNUSED_FIELDS) + "X-Labels: l\r\nContent-Length"));
+      HttpPeer upstream = fixture.upstreams.get(0).accept();
+      HttpPeer.Message forwarded = upstream.read();
+      assertEquals("1", forwarded.header("X-Txn"));
+      assertEquals("l", forwarded.header("X-Labels"));
+      assertEquals("body", forwarded.body());
+      assertTrue(reservedHeadBytes(fixture) < MAX_BYTES_WITHOUT_UNUSED_FIELDS);
+      upstream.write(ProxyFixture.okResponse("well"));
+      assertEquals("well", client.read().body());
+      awaitNothingReserved(fixture);
+    }
+  }
+
+  /** Guards against a repeated field that is not noticed since only some fields are kept. */
+  @Test
+  void rejectsRepeatedFieldAmongManyFields() throws Exception {
+    try (ProxyFixture fixture = new ProxyFixture().start()) {
+      HttpPeer client = fixture.connectClient();
+      String request = ProxyFixture.atMostOnceRequest("1", "body");
+      client.write(
+          request.replace(
+              "Content-Length", "a:\r\n".repeat(UNUSED_FIELDS) + "X-Txn: 2\r\nContent-Length"));
+      HttpPeer.Message response = client.read();
+      assertEquals(400, response.status());
+      assertEquals("X-Txn is repeated\n", response.body());
+    }
+  }
+
+  @Test
+  void limitsMemoryOfHeadsAndBodiesOfPipelinedRequests() {
+    MemoryBudgets budgets = new MemoryBudgets(new MemoryBudget(0), new MemoryBudget(0));
+    PipelineBudget pipelineBudget = new PipelineBudget(1_600);
+    CountedRequest longHead = countedRequest(budgets, 1_001, 0);
+    CountedRequest longBody = countedRequest(budgets, 0, 8 * 1024 * 1024 + 1);
+    for (CountedRequest request : List.of(longHead, longBody)) {
+      pipelineBudget.add(request);
+      assertTrue(pipelineBudget.isExceeded());
+      pipelineBudget.remove(request);
+      assertFalse(pipelineBudget.isExceeded());
+    }
+    pipelineBudget.add(countedRequest(budgets, 1_000, 8 * 1024 * 1024));
+    assertFalse(pipelineBudget.isExceeded());
+  }
+
+  private static CountedRequest countedRequest(
+      MemoryBudgets budgets, long headBytes, long bodyBytes) {
+    DefaultHttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+    return new CountedRequest(
+        head, head.headers(), Unpooled.EMPTY_BUFFER, budgets, headBytes, bodyBytes);
+  }
 }
