Let the budget of bodies follow the memory limit of the configuration

The budget is now three quarters of what limits.memory_mb leaves, 24 MB at 144 MB, but at least enough for an attempt for every two descriptors, as short bodies should not meet it; at 192 MB it is 45 MB as before.

Also two tests of the limit in RequestMemoryTest: an attempt that is not sent for lack of memory, and a request received in part that gives way.

--- a/src/main/java/loadbalancer/benchmark/SimulatedBalancer.java
+++ b/src/main/java/loadbalancer/benchmark/SimulatedBalancer.java
@@ -87,6 +87,7 @@
           config.discovery(),
           seed,
           config.maxDescriptors(),
+          config.memoryLimitBytes(),
           settings,
           config.zones(),
           config.machineTypes(),
--- a/src/main/java/loadbalancer/proxy/ProxyServer.java
+++ b/src/main/java/loadbalancer/proxy/ProxyServer.java
@@ -24,6 +24,7 @@
 import loadbalancer.proxy.logging.ProxyLogger;
 import loadbalancer.proxy.memory.MemoryBudgets;
 import loadbalancer.proxy.memory.MemoryLimitReport;
+import loadbalancer.proxy.protocol.ProtocolHeaders;
 import loadbalancer.proxy.upstream.UpstreamClient;
 
 /**
@@ -86,7 +87,9 @@
     // of dropped log lines wrong.
     ProxyLogger.LOGGER.setFilter(new LogRateLimiter(clock::now));
     DescriptorBudget descriptors = new DescriptorBudget(config.maxDescriptors());
-    MemoryBudgets memoryBudgets = MemoryBudgets.ofProcess();
+    MemoryBudgets memoryBudgets =
+        MemoryBudgets.ofProcess(
+            config.memoryLimitBytes(), config.maxDescriptors(), ProtocolHeaders.MAX_BODY_BYTES);
     memoryLimitReport = new MemoryLimitReport(memoryBudgets);
     upstreams =
         new UpstreamClient(loop, clock, config.settings(), descriptors, memoryBudgets, allocator);
--- a/src/main/java/loadbalancer/proxy/config/ProxyConfig.java
+++ b/src/main/java/loadbalancer/proxy/config/ProxyConfig.java
@@ -24,6 +24,8 @@
  * @param discovery the address of the discovery service
  * @param seed the seed of the random decisions of the policy and of the discovery client
  * @param maxDescriptors the maximum number of file descriptors that the process may hold
+ * @param memoryLimitBytes how much memory the process may hold; {@link Long#MAX_VALUE} if the file
+ *     does not say
  * @param settings the settings of the policy
  * @param zones the names of the zones, by the index that the policy uses
  * @param machineTypes the names of the machine types, by the index that the policy uses
@@ -37,6 +39,7 @@
     InetSocketAddress discovery,
     long seed,
     int maxDescriptors,
+    long memoryLimitBytes,
     PolicySettings settings,
     List<String> zones,
     List<String> machineTypes,
@@ -46,6 +49,7 @@
 
   private static final int DEFAULT_MAX_DESCRIPTORS = 1_024;
   private static final int SEED_RADIX = 16;
+  private static final int BYTES_PER_MEGABYTE = 1_024 * 1_024;
 
   /**
    * Reads a configuration file.
@@ -85,6 +89,7 @@
         parseAddress(root, "discovery"),
         parseSeed(root),
         root.path("limits").path("sockets").asInt(DEFAULT_MAX_DESCRIPTORS),
+        parseMemoryLimit(root.path("limits").path("memory_mb")),
         settings,
         zones,
         machineTypes,
@@ -107,6 +112,12 @@
     }
   }
 
+  private static long parseMemoryLimit(JsonNode megabytes) {
+    return megabytes.isNumber()
+        ? (long) (megabytes.asDouble() * BYTES_PER_MEGABYTE)
+        : Long.MAX_VALUE;
+  }
+
   private static long parseSeed(JsonNode root) {
     String text = root.path("seed").asText("");
     try {
--- a/src/test/java/loadbalancer/proxy/frontend/RequestMemoryTest.java
+++ b/src/test/java/loadbalancer/proxy/frontend/RequestMemoryTest.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
+import loadbalancer.model.AttemptOutcome;
 import loadbalancer.proxy.HttpPeer;
 import loadbalancer.proxy.ProxyFixture;
 import loadbalancer.proxy.ScriptedPolicy;
@@ -186,6 +187,62 @@
     assertFalse(pipelineBudget.isExceeded());
   }
 
+  /** Reserves all memory for bodies that others have not reserved or can lose. */
+  private static void reserveAllBodyMemory(ProxyFixture fixture) throws Exception {
+    boolean reserved =
+        fixture.server.onLoop(
+            (frontend, upstreams) -> {
+              MemoryBudget bodies = frontend.memoryBudgets().bodies();
+              return bodies.tryReserve(bodies.limitBytes());
+            });
+    assertTrue(reserved);
+  }
+
+  private static void releaseAllBodyMemory(ProxyFixture fixture) throws Exception {
+    fixture.server.onLoop(
+        (frontend, upstreams) -> {
+          MemoryBudget bodies = frontend.memoryBudgets().bodies();
+          bodies.release(bodies.limitBytes());
+          return null;
+        });
+  }
+
+  @Test
+  void attemptWithoutMemoryForItsResponseIsNotSent() throws Exception {
+    try (ProxyFixture fixture = new ProxyFixture().start()) {
+      reserveAllBodyMemory(fixture);
+      HttpPeer client = fixture.connectClient();
+      client.write(ProxyFixture.idempotentRequest("1", "10"));
+      assertEquals(AttemptOutcome.NOT_SENT, fixture.policy.nextOutcome());
+      assertEquals(502, client.read().status());
+      releaseAllBodyMemory(fixture);
+      awaitNothingReserved(fixture);
+      fixture.assertStillServes();
+    }
+  }
+
+  @Test
+  void requestReceivedInPartGivesWayAndLaterBodyIsRejected() throws Exception {
+    try (ProxyFixture fixture = new ProxyFixture().start()) {
+      HttpPeer partialClient = fixture.connectClient();
+      String request = ProxyFixture.atMostOnceRequest("1", "body");
+      partialClient.write(request.substring(0, request.length() - 1));
+      awaitInputRead(fixture);
+      reserveAllBodyMemory(fixture);
+      HttpPeer laterClient = fixture.connectClient();
+      laterClient.write(ProxyFixture.atMostOnceRequest("2", "body"));
+      for (HttpPeer client : List.of(partialClient, laterClient)) {
+        HttpPeer.Message response = client.read();
+        assertEquals(503, response.status());
+        assertEquals("no memory left for the request\n", response.body());
+        assertTrue(client.isClosedByPeer());
+      }
+      releaseAllBodyMemory(fixture);
+      awaitNothingReserved(fixture);
+      fixture.assertStillServes();
+    }
+  }
+
   private static CountedRequest countedRequest(
       MemoryBudgets budgets, long headBytes, long bodyBytes) {
     DefaultHttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
--- a/src/test/java/loadbalancer/proxy/memory/MemoryBudgetTest.java
+++ b/src/test/java/loadbalancer/proxy/memory/MemoryBudgetTest.java
@@ -7,11 +7,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** The limit of a budget, and whose memory is given up when it is reached. */
 class MemoryBudgetTest {
 
   private static final long LIMIT_BYTES = 100;
+  private static final long MEGABYTE = 1_024 * 1_024;
 
   private final MemoryBudget budget = new MemoryBudget(LIMIT_BYTES);
   private final List<String> evicted = new ArrayList<>();
@@ -106,4 +109,15 @@
     assertEquals(150, budget.reservedBytes());
     assertFalse(budget.tryReserve(1));
   }
+
+  /** Megabytes: direct memory, free memory, memory for all attempts, expected limit of bodies. */
+  @ParameterizedTest
+  @CsvSource({"60, 80, 32, 45", "60, 32, 21, 24", "60, 16, 21, 21", "8, 80, 32, 6", "60, -9, 8, 8"})
+  void limitOfBodiesFollowsDirectMemoryMemoryLimitAndDescriptors(
+      long directMegabytes, long freeMegabytes, long attemptMegabytes, long expectedMegabytes) {
+    assertEquals(
+        expectedMegabytes * MEGABYTE,
+        MemoryBudgets.bodyBytes(
+            directMegabytes * MEGABYTE, freeMegabytes * MEGABYTE, attemptMegabytes * MEGABYTE));
+  }
 }
