--- a/src/main/java/loadbalancer/proxy/memory/MemoryBudget.java
+++ b/src/main/java/loadbalancer/proxy/memory/MemoryBudget.java
@@ -60,19 +60,6 @@
     return tryReserve(null, bytes);
   }
 
-  /**
-   * Reserves memory that is already held, even over the limit; the caller has to {@link #release}
-   * it.
-   */
-  public void reserve(long bytes) {
-    reservedBytes += bytes;
-  }
-
-  /** Releases memory that was reserved. */
-  public void release(long bytes) {
-    reservedBytes -= bytes;
-  }
-
   /** Like {@link #tryReserve(long)}, but never evicts {@code requester}, which may be null. */
   boolean tryReserve(MemoryReservation requester, long bytes) {
     boolean evicted = true;
@@ -87,6 +74,19 @@
     return true;
   }
 
+  /**
+   * Reserves memory that is already held, even over the limit; the caller has to {@link #release}
+   * it.
+   */
+  public void reserve(long bytes) {
+    reservedBytes += bytes;
+  }
+
+  /** Releases memory that was reserved. */
+  public void release(long bytes) {
+    reservedBytes -= bytes;
+  }
+
   /**
    * Evicts one reservation; returns whether there was one. An attempt to reserve memory during an
    * eviction evicts nothing, so that evictions aren't nested.
