Order the tests of memory limits and of the event loop's end by events, not by sleeping

The stand-in of an endpoint in MemoryLimitTest slept between the pieces of a response; now it writes each piece after a health check, before which the proxy has read the last one. The process of EventLoopTerminationTest slept until it was ended; now it waits on a latch, as Main does. The assertions are the same. Both test classes pass.

--- a/src/test/java/loadbalancer/proxy/EventLoopTerminationTest.java
+++ b/src/test/java/loadbalancer/proxy/EventLoopTerminationTest.java
@@ -4,6 +4,7 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.proxy.config.ProxyConfig;
 import org.junit.jupiter.api.Test;
@@ -26,7 +27,8 @@
       Main.exitIfEventLoopTerminates(server);
       server.serve();
       server.kill();
-      Thread.sleep(TimeUnit.SECONDS.toMillis(2 * EXIT_TIMEOUT_SECONDS));
+      // Ends only with the process, as the main thread of a balancer does.
+      new CountDownLatch(1).await();
     }
   }
 
--- a/src/test/java/loadbalancer/proxy/MemoryLimitTest.java
+++ b/src/test/java/loadbalancer/proxy/MemoryLimitTest.java
@@ -32,7 +32,6 @@
   private static final int SMALL_PIECES = 4;
 
   private static final int SMALL_PIECE_BYTES = 100;
-  private static final long PIECE_INTERVAL_MILLIS = 200;
 
   private static final int PIPELINING_CLIENTS = 64;
 
@@ -156,7 +155,8 @@
     try (ProxyFixture fixture = new ProxyFixture();
         ProxyProcess proxy = ProxyProcess.start(fixture, LITTLE_DIRECT_MEMORY)) {
       proxy.connect().close();
-      startDaemon(() -> respondInPieces(fixture.upstreams.get(0), ProxyFixture.okResponse(body)));
+      String response = ProxyFixture.okResponse(body);
+      startDaemon(() -> respondInPieces(fixture.upstreams.get(0), response, proxy));
       for (int i = 0; i < CLIENTS_WITH_LONG_BODIES; i++) {
         HttpPeer client = HttpPeer.connect(proxy.address);
         clients.add(client);
@@ -212,28 +212,30 @@
   }
 
   /** Responds to one request on each connection until the process ends. */
-  private static void respondInPieces(ScriptedListener upstream, String response) {
+  private static void respondInPieces(
+      ScriptedListener upstream, String response, ProxyProcess proxy) {
     try {
       while (true) {
         HttpPeer connection = upstream.accept();
-        startDaemon(() -> respondInPieces(connection, response));
+        startDaemon(() -> respondInPieces(connection, response, proxy));
       }
     } catch (InterruptedException | AssertionError e) {
       // No connection has been opened for a long time.
     }
   }
 
-  private static void respondInPieces(HttpPeer connection, String response) {
+  /** Writes each piece only after a health check, before which the proxy has read the last one. */
+  private static void respondInPieces(HttpPeer connection, String response, ProxyProcess proxy) {
     try {
       connection.read();
       int written = response.length() - SMALL_PIECES * SMALL_PIECE_BYTES;
       connection.write(response.substring(0, written));
       for (int i = 0; i < SMALL_PIECES; i++) {
-        Thread.sleep(PIECE_INTERVAL_MILLIS);
+        assertHealthy(proxy);
         connection.write(response.substring(written, written + SMALL_PIECE_BYTES));
         written += SMALL_PIECE_BYTES;
       }
-    } catch (IOException | InterruptedException e) {
+    } catch (IOException e) {
       // The proxy has closed the connection.
     }
   }
