--- a/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
@@ -43,21 +43,6 @@
   /** Limits what {@link #isConnected} reads. More than the kernel buffers for a connection. */
   private static final int MAX_UNREAD_BYTES = 16 * 1024 * 1024;
 
-  /**
-   * Longest time to receive a request: counted from the accept for the connection's first request,
-   * otherwise from the request's first byte or the preceding response, whichever is later.
-   */
-  private static final double REQUEST_TIMEOUT_MILLIS = 2_300;
-
-  /** Longest time from the accept to the first byte of a request. */
-  private static final double FIRST_REQUEST_TIMEOUT_MILLIS = 2_300;
-
-  /** Longest time from a response to the first byte of the next request. */
-  private static final double KEEP_ALIVE_TIMEOUT_MILLIS = 3_000;
-
-  /** Longest time for the client to receive a response; a lingering close has its own timeout. */
-  private static final double WRITE_TIMEOUT_MILLIS = 10_000;
-
   private final Frontend frontend;
   private final RequestDispatcher dispatcher;
   private final ArrivalTimeEstimate arrivalTime;
@@ -68,6 +53,7 @@
   private final CurrentRequest currentRequest;
   private final ResponseWriter responseWriter;
   private final LingeringClose lingeringClose;
+  private final ConnectionTimeouts timeouts;
 
   private State state = State.SERVING;
 
@@ -77,9 +63,6 @@
   /** Whether {@link #processNext} is running, which may cause a response that calls it again. */
   private boolean processing;
 
-  private boolean hasResponded;
-  private double lastActivityAtMillis;
-
   ClientConnection(
       Frontend frontend, RequestDispatcher dispatcher, EventLoopMonitor monitor, Channel channel) {
     this.frontend = frontend;
@@ -93,7 +76,7 @@
     currentRequest = new CurrentRequest(frontend, dispatcher, this);
     responseWriter = new ResponseWriter(channel, budgets.bodies(), this::onAllWritten);
     lingeringClose = new LingeringClose(channel, decoder);
-    lastActivityAtMillis = dispatcher.now();
+    timeouts = new ConnectionTimeouts(dispatcher.now());
   }
 
   ChannelHandler decoder() {
@@ -110,7 +93,7 @@
 
   /** The latest of the accept, the last response, and the first byte of the request after it. */
   double lastActivityAtMillis() {
-    return lastActivityAtMillis;
+    return timeouts.lastActivityAtMillis();
   }
 
   private boolean isIdle() {
@@ -186,24 +169,22 @@
 
   /** Closes the connection, or rejects the request received in part, if its timeout is over. */
   void checkTimeouts(double now) {
-    double millisSinceActivity = now - lastActivityAtMillis;
     if (state != State.SERVING || responseWriter.hasPendingWrites()) {
-      if (millisSinceActivity > WRITE_TIMEOUT_MILLIS) {
+      if (timeouts.isWriteOverdue(now)) {
         channel.close();
       }
     } else if (decoder.hasPartialRequest()) {
-      if (!currentRequest.isPresent() && millisSinceActivity > REQUEST_TIMEOUT_MILLIS) {
+      if (!currentRequest.isPresent() && timeouts.isRequestOverdue(now)) {
         rejectPartialRequest("too slow");
       }
-    } else if (millisSinceActivity
-        > (hasResponded ? KEEP_ALIVE_TIMEOUT_MILLIS : FIRST_REQUEST_TIMEOUT_MILLIS)) {
+    } else if (timeouts.isIdleTooLong(now)) {
       closeIfIdle();
     }
   }
 
   private void onFirstByte() {
-    if (hasResponded && !currentRequest.isPresent()) {
-      lastActivityAtMillis = dispatcher.now();
+    if (!currentRequest.isPresent()) {
+      timeouts.onFirstByte(dispatcher.now());
     }
   }
 
@@ -341,8 +322,7 @@
       discardInput();
     }
     currentRequest.finish();
-    hasResponded = true;
-    lastActivityAtMillis = dispatcher.now();
+    timeouts.onResponse(dispatcher.now());
     frontend.onResponse(this);
     responseWriter.write(status, body, retryAfterMillis, state != State.SERVING);
     if (state == State.SERVING) {
--- a/src/main/java/loadbalancer/proxy/frontend/Frontend.java
+++ b/src/main/java/loadbalancer/proxy/frontend/Frontend.java
@@ -1,14 +1,9 @@
 package loadbalancer.proxy.frontend;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
@@ -22,9 +17,7 @@
 import loadbalancer.proxy.config.ProxyConfig;
 import loadbalancer.proxy.eventloop.DescriptorBudget;
 import loadbalancer.proxy.eventloop.EventLoopMonitor;
-import loadbalancer.proxy.logging.ProxyLogger;
 import loadbalancer.proxy.memory.MemoryBudgets;
-import loadbalancer.proxy.memory.ReceiveBuffers;
 
 /**
  * Accepts client connections, enforces their timeouts and closes them at shutdown, so that a client
@@ -42,7 +35,6 @@
     FORCED
   }
 
-  private static final int ACCEPT_BACKLOG = 1_024;
   private static final long TIMEOUT_CHECK_INTERVAL_MILLIS = 200;
 
   private final EventLoop loop;
@@ -54,6 +46,7 @@
   private final EventLoopMonitor monitor;
   private final RequestValidator validator;
   private final PipelineBudget pipelineBudget;
+  private final ClientListener listener;
 
   /**
    * Open connections, the least recently used one first: ordered by the time of the last response,
@@ -64,7 +57,6 @@
   /** The connections whose request is in flight, by the ID of that request. */
   private final Map<String, ClientConnection> connectionsByRequestId = new HashMap<>();
 
-  private Channel serverChannel;
   private ShutdownPhase shutdownPhase = ShutdownPhase.NONE;
 
   /**
@@ -93,6 +85,7 @@
     this.dispatcher = dispatcher;
     this.monitor = monitor;
     validator = new RequestValidator(config);
+    listener = new ClientListener(loop, descriptors, dispatcher::now);
     descriptors.onEvictClient(this::evictIdle);
   }
 
@@ -102,23 +95,7 @@
    * @throws ConfigurationException if the address cannot be bound
    */
   public void bind() throws ConfigurationException, InterruptedException {
-    ServerBootstrap bootstrap =
-        new ServerBootstrap()
-            .group(loop)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .handler(new AcceptFailureHandler())
-            .childOption(ChannelOption.ALLOCATOR, allocator)
-            .childOption(ChannelOption.RECVBUF_ALLOCATOR, ReceiveBuffers.newAllocator())
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new ConnectionInitializer());
-    var bindFuture = bootstrap.bind(config.listen()).await();
-    if (!bindFuture.isSuccess()) {
-      throw new ConfigurationException(
-          "cannot listen on " + config.listen() + ": " + bindFuture.cause().getMessage());
-    }
-    serverChannel = bindFuture.channel();
+    listener.bind(config.listen(), allocator, new ConnectionInitializer());
     loop.scheduleAtFixedRate(
         () -> checkTimeouts(dispatcher.now()),
         TIMEOUT_CHECK_INTERVAL_MILLIS,
@@ -128,7 +105,7 @@
 
   /** The address that the frontend listens on, with the port that was bound if 0 is configured. */
   public InetSocketAddress address() {
-    return (InetSocketAddress) serverChannel.localAddress();
+    return listener.address();
   }
 
   /** From now on, responses ask clients to disconnect unless further requests have arrived. */
@@ -162,13 +139,13 @@
     }
   }
 
-  /** Accepts all clients in the backlog, unless shutdown began before the address was bound. */
+  /** Accepts all clients in the backlog. */
   private void acceptPending() {
     int countBeforeRead = -1;
     // One read accepts several clients, but not always all of them.
-    while (serverChannel != null && countBeforeRead < connections.size()) {
+    while (countBeforeRead < connections.size()) {
       countBeforeRead = connections.size();
-      DescriptorBudget.readNow(serverChannel);
+      listener.acceptPending();
     }
   }
 
@@ -180,15 +157,14 @@
     resumeAccepting();
   }
 
-  /**
-   * Resumes accepting clients if the descriptor budget has room for one. Accepting a client for
-   * each one that disconnects, regardless of the budget, could use up the descriptors of the
-   * process, and without a free descriptor the JVM can't even load a class.
-   */
+  /** For how long accepting clients has been paused in total, in milliseconds. */
+  public double acceptPausedMillis() {
+    return listener.pausedMillis();
+  }
+
+  /** Resumes accepting clients if it was paused and the descriptor budget has room for one. */
   void resumeAccepting() {
-    if (!serverChannel.config().isAutoRead() && descriptors.canAcceptClient(dispatcher.now())) {
-      serverChannel.config().setAutoRead(true);
-    }
+    listener.resumeIfRoom();
   }
 
   /**
@@ -213,30 +189,18 @@
 
     @Override
     protected void initChannel(Channel channel) {
-      // Set here as well as in bind(): onClosed needs it, and may be called before bind() returns.
-      serverChannel = channel.parent();
       ClientConnection connection =
           new ClientConnection(Frontend.this, dispatcher, monitor, channel);
       channel.pipeline().addLast(connection.decoder(), new HttpResponseEncoder(), connection);
     }
   }
 
-  /** Stops accepting after a failed accept until {@link #resumeAccepting}. */
-  private static final class AcceptFailureHandler extends ChannelInboundHandlerAdapter {
-
-    @Override
-    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      ctx.channel().config().setAutoRead(false);
-      ProxyLogger.LOGGER.warning("client accept failed: error=" + cause);
-    }
-  }
-
   void onAccepted(ClientConnection connection, Channel channel) {
     descriptors.track(channel);
     connections.add(connection);
     if (!descriptors.canAcceptClient(connection.lastActivityAtMillis())) {
       // Stops in time: if an accept fails for lack of a descriptor, Netty pauses for a second.
-      serverChannel.config().setAutoRead(false);
+      listener.pause();
     }
   }
 
