Log evicted connections and pauses of accepting when the descriptor limit is reached

The log did not tell a paused accept from a late event loop or an accepted connection that is not read.

--- a/src/main/java/loadbalancer/proxy/ProxyServer.java
+++ b/src/main/java/loadbalancer/proxy/ProxyServer.java
@@ -18,6 +18,7 @@
 import loadbalancer.proxy.discovery.DiscoveryClient;
 import loadbalancer.proxy.eventloop.Clock;
 import loadbalancer.proxy.eventloop.DescriptorBudget;
+import loadbalancer.proxy.eventloop.DescriptorLimitReport;
 import loadbalancer.proxy.eventloop.EventLoopMonitor;
 import loadbalancer.proxy.frontend.Frontend;
 import loadbalancer.proxy.logging.LogRateLimiter;
@@ -71,6 +72,7 @@
   private final Clock clock = new Clock();
   private final PooledByteBufAllocator allocator = newAllocator();
   private final MemoryLimitReport memoryLimitReport;
+  private final DescriptorLimitReport descriptorLimitReport;
   private final UpstreamClient upstreams;
   private final PolicyDriver driver;
   private final Frontend frontend;
@@ -87,6 +89,7 @@
     // of dropped log lines wrong.
     ProxyLogger.LOGGER.setFilter(new LogRateLimiter(clock::now));
     DescriptorBudget descriptors = new DescriptorBudget(config.maxDescriptors());
+    descriptorLimitReport = new DescriptorLimitReport(descriptors);
     MemoryBudgets memoryBudgets =
         MemoryBudgets.ofProcess(
             config.memoryLimitBytes(), config.maxDescriptors(), ProtocolHeaders.MAX_BODY_BYTES);
@@ -163,19 +166,17 @@
   }
 
   private void start() {
-    loop.scheduleAtFixedRate(
-        this::reportLateness,
-        REPORT_INTERVAL_MILLIS,
-        REPORT_INTERVAL_MILLIS,
-        TimeUnit.MILLISECONDS);
-    loop.scheduleAtFixedRate(
-        this::reportMemoryLimit,
-        REPORT_INTERVAL_MILLIS,
-        REPORT_INTERVAL_MILLIS,
-        TimeUnit.MILLISECONDS);
+    reportRegularly(this::reportLateness);
+    reportRegularly(this::reportMemoryLimit);
+    reportRegularly(this::reportDescriptorLimit);
     driver.start();
   }
 
+  private void reportRegularly(Runnable report) {
+    loop.scheduleAtFixedRate(
+        report, REPORT_INTERVAL_MILLIS, REPORT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
   /**
    * Logs the number of the event loop's iterations since the last report and how long they took,
    * see {@link EventLoopMonitor.Report}. The interval and the threshold of the report are {@link
@@ -203,6 +204,13 @@
         .ifPresent(ProxyLogger.LOGGER::warning);
   }
 
+  /** Logs that connections were evicted or not accepted since the last report. */
+  private void reportDescriptorLimit() {
+    descriptorLimitReport
+        .next(frontend.acceptPausedMillis())
+        .ifPresent(ProxyLogger.LOGGER::warning);
+  }
+
   /**
    * Listens on the configured address and accepts clients from now on.
    *
--- a/src/main/java/loadbalancer/proxy/eventloop/DescriptorBudget.java
+++ b/src/main/java/loadbalancer/proxy/eventloop/DescriptorBudget.java
@@ -36,6 +36,8 @@
 
   private final int maxConnections;
   private int openConnections;
+  private long clientEvictions;
+  private long upstreamEvictions;
   private DoublePredicate evictClient = idleSinceMillis -> false;
   private BooleanSupplier evictUpstream = () -> false;
 
@@ -108,9 +110,39 @@
    * client less than it costs an endpoint.
    */
   private boolean evict(double now) {
-    return evictClient.test(now - LONG_IDLE_CLIENT_MILLIS)
-        || evictUpstream.getAsBoolean()
-        || evictClient.test(now);
+    return evictClient(now - LONG_IDLE_CLIENT_MILLIS) || evictUpstream() || evictClient(now);
+  }
+
+  private boolean evictClient(double idleSinceMillis) {
+    boolean evicted = evictClient.test(idleSinceMillis);
+    clientEvictions += evicted ? 1 : 0;
+    return evicted;
+  }
+
+  private boolean evictUpstream() {
+    boolean evicted = evictUpstream.getAsBoolean();
+    upstreamEvictions += evicted ? 1 : 0;
+    return evicted;
+  }
+
+  /** The number of connections that count against the budget now. */
+  int openConnections() {
+    return openConnections;
+  }
+
+  /** The number of connections that may be open. */
+  int maxConnections() {
+    return maxConnections;
+  }
+
+  /** How often a client connection has been closed to make room for another connection. */
+  long clientEvictions() {
+    return clientEvictions;
+  }
+
+  /** How often a connection to an endpoint has been closed to make room for another connection. */
+  long upstreamEvictions() {
+    return upstreamEvictions;
   }
 
   /** Counts a connection against the budget until it is closed. */
