Let unfinished requests give way when another connection needs their descriptor

Cause: at 192 connections DescriptorBudget makes room by closing idle connections only. One with a request received in part was not idle and stayed until the request timeout of 2.3 s; accepting was paused meanwhile.

Now InactiveClientEvictor closes the idle connection or the one with a request received in part that has been inactive for the longest time; the request is rejected with 503. What the kernel holds is read first, and if it completes the request, that is served and the next connection gives way. Connections to endpoints and discovery ask the same budget. A request that is being decoded or whose connection is processing another one is never chosen. Why this works: accepting now pauses only if no connection is without a complete request.

--- a/src/main/java/loadbalancer/proxy/ProxyServer.java
+++ b/src/main/java/loadbalancer/proxy/ProxyServer.java
@@ -110,7 +110,7 @@
                     config.discoverySettings(),
                     allocator,
                     listener,
-                    () -> descriptors.evictIdleConnections(clock.now()),
+                    () -> descriptors.evictConnections(clock.now()),
                     DiscoveryClient.MAX_WATCH_MILLIS));
     frontend = new Frontend(loop, config, descriptors, memoryBudgets, allocator, driver, monitor);
   }
--- a/src/main/java/loadbalancer/proxy/eventloop/DescriptorBudget.java
+++ b/src/main/java/loadbalancer/proxy/eventloop/DescriptorBudget.java
@@ -3,13 +3,13 @@
 import io.netty.channel.Channel;
 import io.netty.channel.nio.AbstractNioChannel;
 import java.util.function.BooleanSupplier;
-import java.util.function.DoublePredicate;
 
 /**
  * Divides the file descriptors that the process may hold between connections from clients and
  * connections to endpoints. A share is reserved for clients: without a descriptor, a client in the
- * accept backlog cannot even be rejected. Idle connections are closed when another connection needs
- * their descriptor. Used on the event loop thread only.
+ * accept backlog cannot even be rejected. When another connection needs their descriptor, idle
+ * connections are closed, and so are those of clients whose request is incomplete. Used on the
+ * event loop thread only.
  */
 public final class DescriptorBudget {
 
@@ -25,8 +25,11 @@
    */
   private static final int CONNECTIONS_PER_CLIENT_RESERVATION = 5;
 
-  /** A client that has been idle for longer than this is unlikely to send a request soon. */
-  private static final double LONG_IDLE_CLIENT_MILLIS = 300;
+  /**
+   * A client that has been idle for longer than this is unlikely to send a request soon, and one
+   * whose request has been incomplete for longer is unlikely to complete it soon.
+   */
+  private static final double LONG_INACTIVE_CLIENT_MILLIS = 300;
 
   /** The maximum number of connections that Netty accepts in one pass. */
   private static final int ACCEPT_BATCH = 16;
@@ -36,9 +39,10 @@
 
   private final int maxConnections;
   private int openConnections;
-  private long clientEvictions;
+  private long idleClientEvictions;
+  private long partialRequestEvictions;
   private long upstreamEvictions;
-  private DoublePredicate evictClient = idleSinceMillis -> false;
+  private ClientEvictor clientEvictor;
   private BooleanSupplier evictUpstream = () -> false;
 
   /**
@@ -56,17 +60,13 @@
     evictUpstream = evict;
   }
 
-  /**
-   * Sets the action that closes one client connection. Its argument is a time in milliseconds of
-   * the instance's clock: it closes only a connection that has been idle since before then. Its
-   * result is whether it closed one.
-   */
-  public void onEvictClient(DoublePredicate evict) {
-    evictClient = evict;
+  /** Sets the object that closes client connections. */
+  public void onEvictClient(ClientEvictor evictor) {
+    clientEvictor = evictor;
   }
 
   /**
-   * Whether a connection to an endpoint may be opened. Closes an idle connection if that is needed
+   * Whether a connection to an endpoint may be opened. Closes another connection if that is needed
    * to make room.
    *
    * @param now the time in milliseconds
@@ -77,7 +77,7 @@
   }
 
   /**
-   * Whether one more client may be accepted. Closes idle connections as needed to keep the
+   * Whether one more client may be accepted. Closes other connections as needed to keep the
    * descriptors of a whole batch free, since Netty accepts several clients in one pass.
    *
    * @param now the time in milliseconds
@@ -92,12 +92,12 @@
   }
 
   /**
-   * Closes up to {@link #ACCEPT_BATCH} idle connections, after the process has run out of
-   * descriptors despite the budget.
+   * Closes up to {@link #ACCEPT_BATCH} connections, after the process has run out of descriptors
+   * despite the budget.
    *
    * @param now the time in milliseconds
    */
-  public void evictIdleConnections(double now) {
+  public void evictConnections(double now) {
     boolean evicted = true;
     for (int i = 0; i < ACCEPT_BATCH && evicted; i++) {
       evicted = evict(now);
@@ -105,18 +105,23 @@
   }
 
   /**
-   * Closes one idle connection and returns whether there was one. Clients that have been idle for
-   * long come first, then connections to endpoints, then other idle clients: reconnecting costs a
-   * client less than it costs an endpoint.
+   * Closes one connection that serves no complete request and returns whether there was one.
+   * Clients that have been inactive for long come first, then connections to endpoints, then other
+   * inactive clients: reconnecting costs a client less than it costs an endpoint.
    */
   private boolean evict(double now) {
-    return evictClient(now - LONG_IDLE_CLIENT_MILLIS) || evictUpstream() || evictClient(now);
+    double longInactiveSinceMillis = now - LONG_INACTIVE_CLIENT_MILLIS;
+    return count(clientEvictor.evictIdle(longInactiveSinceMillis))
+        || count(clientEvictor.evictInactive(longInactiveSinceMillis))
+        || evictUpstream()
+        || count(clientEvictor.evictInactive(now));
   }
 
-  private boolean evictClient(double idleSinceMillis) {
-    boolean evicted = evictClient.test(idleSinceMillis);
-    clientEvictions += evicted ? 1 : 0;
-    return evicted;
+  /** Counts the eviction of a client and returns whether there was one. */
+  private boolean count(ClientEvictor.Eviction eviction) {
+    idleClientEvictions += eviction == ClientEvictor.Eviction.IDLE ? 1 : 0;
+    partialRequestEvictions += eviction == ClientEvictor.Eviction.PARTIAL_REQUEST ? 1 : 0;
+    return eviction != ClientEvictor.Eviction.NONE;
   }
 
   private boolean evictUpstream() {
@@ -135,9 +140,14 @@
     return maxConnections;
   }
 
-  /** How often a client connection has been closed to make room for another connection. */
-  long clientEvictions() {
-    return clientEvictions;
+  /** How often an idle client connection has been closed to make room for another connection. */
+  long idleClientEvictions() {
+    return idleClientEvictions;
+  }
+
+  /** How often a request received in part has been rejected to make room for a connection. */
+  long partialRequestEvictions() {
+    return partialRequestEvictions;
   }
 
   /** How often a connection to an endpoint has been closed to make room for another connection. */
--- a/src/main/java/loadbalancer/proxy/eventloop/DescriptorLimitReport.java
+++ b/src/main/java/loadbalancer/proxy/eventloop/DescriptorLimitReport.java
@@ -6,8 +6,9 @@
 public final class DescriptorLimitReport {
 
   private final DescriptorBudget budget;
-  private long reportedClientEvictions;
-  private long reportedUpstreamEvictions;
+  private long reportedIdleClients;
+  private long reportedPartialRequests;
+  private long reportedUpstreams;
   private double reportedPausedMillis;
 
   /** Creates a report that has reported nothing yet. */
@@ -22,18 +23,22 @@
    * @param pausedMillis for how long accepting has been paused in total
    */
   public Optional<String> next(double pausedMillis) {
-    long clients = budget.clientEvictions() - reportedClientEvictions;
-    long upstreams = budget.upstreamEvictions() - reportedUpstreamEvictions;
+    long idleClients = budget.idleClientEvictions() - reportedIdleClients;
+    long partialRequests = budget.partialRequestEvictions() - reportedPartialRequests;
+    long upstreams = budget.upstreamEvictions() - reportedUpstreams;
     double newlyPausedMillis = pausedMillis - reportedPausedMillis;
-    if (clients == 0 && upstreams == 0 && newlyPausedMillis == 0) {
+    if (idleClients + partialRequests + upstreams == 0 && newlyPausedMillis == 0) {
       return Optional.empty();
     }
-    reportedClientEvictions += clients;
-    reportedUpstreamEvictions += upstreams;
+    reportedIdleClients += idleClients;
+    reportedPartialRequests += partialRequests;
+    reportedUpstreams += upstreams;
     reportedPausedMillis = pausedMillis;
     return Optional.of(
         "descriptor limit reached: evicted_clients="
-            + clients
+            + idleClients
+            + " rejected_requests="
+            + partialRequests
             + " evicted_upstreams="
             + upstreams
             + " accept_paused_ms="
--- a/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
@@ -16,6 +16,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import loadbalancer.proxy.eventloop.ClientEvictor.Eviction;
 import loadbalancer.proxy.eventloop.DescriptorBudget;
 import loadbalancer.proxy.eventloop.EventLoopMonitor;
 import loadbalancer.proxy.frontend.RequestPipeline.PipelinedRequest;
@@ -40,9 +41,6 @@
 
   private static final String HEALTH_CHECK_PATH = "/_health";
 
-  /** Limits what {@link #isConnected} reads. More than the kernel buffers for a connection. */
-  private static final int MAX_UNREAD_BYTES = 16 * 1024 * 1024;
-
   private final Frontend frontend;
   private final RequestDispatcher dispatcher;
   private final ArrivalTimeEstimate arrivalTime;
@@ -70,7 +68,9 @@
     this.channel = channel;
     arrivalTime = new ArrivalTimeEstimate(dispatcher, monitor);
     MemoryBudgets budgets = frontend.memoryBudgets();
-    assembler = new RequestAssembler(channel, budgets, this::evictPartialRequest);
+    assembler =
+        new RequestAssembler(
+            channel, budgets, () -> rejectPartialRequest(RequestHeadValidator.noMemoryLeft()));
     decoder = new ClientRequestDecoder(this::onFirstByte, assembler.headMemory());
     pipeline = new RequestPipeline(frontend.pipelineBudget());
     currentRequest = new CurrentRequest(frontend, dispatcher, this);
@@ -83,30 +83,64 @@
     return decoder;
   }
 
-  boolean isOpen() {
-    return channel.isOpen();
-  }
-
-  void close() {
-    channel.close();
-  }
-
   /** The latest of the accept, the last response, and the first byte of the request after it. */
   double lastActivityAtMillis() {
     return timeouts.lastActivityAtMillis();
   }
 
   private boolean isIdle() {
+    return hasNothingToAnswer() && !decoder.hasPartialRequest();
+  }
+
+  /** Whether a request has been received in part, and nothing is to be answered before it. */
+  private boolean isReceivingRequest() {
+    return hasNothingToAnswer()
+        && decoder.hasPartialRequest()
+        && !decoder.isDecoding()
+        && !processing;
+  }
+
+  private boolean hasNothingToAnswer() {
     return state == State.SERVING
         && !currentRequest.isPresent()
         && pipeline.isEmpty()
         && protocolViolation == null
-        && !decoder.hasPartialRequest()
         && !responseWriter.hasPendingWrites();
   }
 
-  boolean isLingering() {
-    return state == State.LINGERING;
+  /** Whether {@link #evict} may close the connection. */
+  boolean isEvictable(boolean evenWithPartialRequest) {
+    return channel.isOpen()
+        && (state == State.LINGERING
+            || isIdle()
+            || (evenWithPartialRequest && isReceivingRequest()));
+  }
+
+  /** Closes an evictable connection, since its descriptor is needed for another one. */
+  Eviction evict() {
+    if (state == State.LINGERING) {
+      lingeringClose.closeNow();
+      return Eviction.IDLE;
+    }
+    if (decoder.hasPartialRequest()) {
+      return evictPartialRequest();
+    }
+    return closeIfIdle() ? Eviction.IDLE : Eviction.NONE;
+  }
+
+  /**
+   * Rejects a request received in part and closes the connection, unless the client has
+   * disconnected or what the kernel holds completes the request, which would be lost.
+   */
+  private Eviction evictPartialRequest() {
+    if (isConnected()) {
+      if (!isReceivingRequest()) {
+        return Eviction.NONE;
+      }
+      rejectPartialRequest(BadRequestException.noConnectionLeft());
+      channel.close();
+    }
+    return Eviction.PARTIAL_REQUEST;
   }
 
   /**
@@ -129,41 +163,27 @@
   void beginForcedShutdown() {
     DescriptorBudget.readNow(channel);
     if (decoder.hasPartialRequest() && protocolViolation == null && state == State.SERVING) {
-      rejectPartialRequest("too late");
+      rejectPartialRequest(BadRequestException.tooLate());
     }
     closeIfIdle();
   }
 
-  /** Rejects a request received in part: "too late" in a shutdown, "too slow" on timeout. */
-  private void rejectPartialRequest(String message) {
-    onProtocolViolation(new BadRequestException(HttpResponseStatus.REQUEST_TIMEOUT, message));
-    processNext();
-  }
-
-  /** Rejects a request received in part, as its memory is needed for other requests. */
-  private void evictPartialRequest() {
-    onProtocolViolation(RequestHeadValidator.noMemoryLeft());
+  /** Rejects a request received in part; further input is discarded. */
+  private void rejectPartialRequest(BadRequestException reason) {
+    onProtocolViolation(reason);
     processNext();
   }
 
   /**
-   * Reads all that the kernel holds: a disconnect shows only after the bytes sent before it. A
-   * client that keeps sending beyond {@link #MAX_UNREAD_BYTES} counts as connected. While a request
-   * is being dispatched, nothing is read, since the connection was checked just before.
+   * Reads all that the kernel holds: a disconnect shows only after the bytes sent before it. While
+   * a request is being dispatched, nothing is read, since the connection was checked just before.
    */
   @Override
   public boolean isConnected() {
     if (currentRequest.isBeingDispatched()) {
       return channel.isOpen();
     }
-    long receivedAtStart = decoder.receivedBytes();
-    long receivedBeforeRead = -1;
-    while (channel.isOpen()
-        && decoder.receivedBytes() > receivedBeforeRead
-        && decoder.receivedBytes() - receivedAtStart < MAX_UNREAD_BYTES) {
-      receivedBeforeRead = decoder.receivedBytes();
-      DescriptorBudget.readNow(channel);
-    }
+    decoder.readAll(channel);
     return channel.isOpen();
   }
 
@@ -175,7 +195,7 @@
       }
     } else if (decoder.hasPartialRequest()) {
       if (!currentRequest.isPresent() && timeouts.isRequestOverdue(now)) {
-        rejectPartialRequest("too slow");
+        rejectPartialRequest(BadRequestException.tooSlow());
       }
     } else if (timeouts.isIdleTooLong(now)) {
       closeIfIdle();
@@ -323,7 +343,6 @@
     }
     currentRequest.finish();
     timeouts.onResponse(dispatcher.now());
-    frontend.onResponse(this);
     responseWriter.write(status, body, retryAfterMillis, state != State.SERVING);
     if (state == State.SERVING) {
       processNext();
--- a/src/main/java/loadbalancer/proxy/frontend/ClientListener.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ClientListener.java
@@ -32,6 +32,9 @@
   /** Null before {@link #bind}. */
   private Channel channel;
 
+  /** Whether it is being checked if accepting can be resumed, which may end other requests. */
+  private boolean resuming;
+
   private double pausedAtMillis;
   private double pausedMillis;
 
@@ -110,7 +113,13 @@
    * process, and without a free descriptor the JVM can't even load a class.
    */
   void resumeIfRoom() {
-    if (!channel.config().isAutoRead() && descriptors.canAcceptClient(clock.getAsDouble())) {
+    if (resuming || channel.config().isAutoRead()) {
+      return;
+    }
+    resuming = true;
+    boolean hasRoom = descriptors.canAcceptClient(clock.getAsDouble());
+    resuming = false;
+    if (hasRoom) {
       addPauseUntil(clock.getAsDouble());
       channel.config().setAutoRead(true);
     }
--- a/src/main/java/loadbalancer/proxy/frontend/ClientRequestDecoder.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ClientRequestDecoder.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import loadbalancer.proxy.eventloop.DescriptorBudget;
 import loadbalancer.proxy.memory.HeadMemory;
 
 /**
@@ -21,6 +22,9 @@
  */
 final class ClientRequestDecoder extends HttpRequestDecoder {
 
+  /** More than the kernel buffers for a connection. */
+  private static final int MAX_UNREAD_BYTES = 16 * 1024 * 1024;
+
   /** After discarding this much, reading pauses, so that one client can't occupy the event loop. */
   private static final int DISCARDED_BYTES_BEFORE_PAUSE = 4 * 1024 * 1024;
 
@@ -30,11 +34,13 @@
   private final HeadMemory headMemory;
 
   private boolean partialRequest;
+  private boolean decoding;
   private boolean discarding;
 
   /** Bytes of input discarded since reading last paused for {@link #DISCARD_PAUSE_MILLIS}. */
   private int discardedBytes;
 
+  /** The total number of bytes received on the connection. */
   private long receivedBytes;
 
   /**
@@ -53,9 +59,24 @@
     return partialRequest;
   }
 
-  /** The total number of bytes received on the connection. */
-  long receivedBytes() {
-    return receivedBytes;
+  /** Whether what has been received is being decoded, which may complete a request. */
+  boolean isDecoding() {
+    return decoding;
+  }
+
+  /**
+   * Reads all that the kernel holds for the channel, but from a client that keeps sending not much
+   * more than {@link #MAX_UNREAD_BYTES}.
+   */
+  void readAll(Channel channel) {
+    long receivedAtStart = receivedBytes;
+    long receivedBeforeRead = -1;
+    while (channel.isOpen()
+        && receivedBytes > receivedBeforeRead
+        && receivedBytes - receivedAtStart < MAX_UNREAD_BYTES) {
+      receivedBeforeRead = receivedBytes;
+      DescriptorBudget.readNow(channel);
+    }
   }
 
   /**
@@ -92,7 +113,12 @@
       partialRequest = true;
       onFirstByte.run();
     }
-    super.channelRead(ctx, message);
+    decoding = true;
+    try {
+      super.channelRead(ctx, message);
+    } finally {
+      decoding = false;
+    }
   }
 
   private void pauseAfterDiscarding(Channel channel, int bytes) {
--- a/src/main/java/loadbalancer/proxy/frontend/Frontend.java
+++ b/src/main/java/loadbalancer/proxy/frontend/Frontend.java
@@ -47,11 +47,9 @@
   private final RequestValidator validator;
   private final PipelineBudget pipelineBudget;
   private final ClientListener listener;
+  private final InactiveClientEvictor evictor;
 
-  /**
-   * Open connections, the least recently used one first: ordered by the time of the last response,
-   * or of the accept if there was no response yet.
-   */
+  /** Open connections, and closed ones until {@link #onClosed}. */
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
 
   /** The connections whose request is in flight, by the ID of that request. */
@@ -86,7 +84,8 @@
     this.monitor = monitor;
     validator = new RequestValidator(config);
     listener = new ClientListener(loop, descriptors, dispatcher::now);
-    descriptors.onEvictClient(this::evictIdle);
+    evictor = new InactiveClientEvictor(connections);
+    descriptors.onEvictClient(evictor);
   }
 
   /**
@@ -167,23 +166,6 @@
     listener.resumeIfRoom();
   }
 
-  /**
-   * Closes the least recently used of the idle or lingering connections whose last activity was
-   * before the given time; returns whether there was one.
-   */
-  private boolean evictIdle(double activeBeforeMillis) {
-    for (ClientConnection connection : new ArrayList<>(connections)) {
-      // A closed connection stays in the set until onClosed; choosing it would free no descriptor.
-      if (connection.isOpen()
-          && connection.lastActivityAtMillis() < activeBeforeMillis
-          && (connection.isLingering() || connection.closeIfIdle())) {
-        connection.close();
-        return true;
-      }
-    }
-    return false;
-  }
-
   /** Sets up an accepted connection. */
   private final class ConnectionInitializer extends ChannelInitializer<Channel> {
 
@@ -204,12 +186,6 @@
     }
   }
 
-  /** Makes the connection the last one in the order of eviction. */
-  void onResponse(ClientConnection connection) {
-    connections.remove(connection);
-    connections.add(connection);
-  }
-
   void onClosed(ClientConnection connection) {
     connections.remove(connection);
     resumeAccepting();
@@ -223,6 +199,11 @@
     return shutdownPhase == ShutdownPhase.FORCED;
   }
 
+  /** For tests: closes connections that have been inactive for the longest time. */
+  InactiveClientEvictor evictor() {
+    return evictor;
+  }
+
   PipelineBudget pipelineBudget() {
     return pipelineBudget;
   }
--- a/src/main/java/loadbalancer/proxy/frontend/LingeringClose.java
+++ b/src/main/java/loadbalancer/proxy/frontend/LingeringClose.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.socket.SocketChannel;
 import java.util.concurrent.TimeUnit;
+import loadbalancer.proxy.eventloop.DescriptorBudget;
 
 /**
  * Closes a connection after its last response. To close it at once while the client still sends
@@ -47,6 +48,15 @@
     }
   }
 
+  /**
+   * Ends the close early. What the kernel holds is read first: to close over unread bytes would
+   * reset the connection.
+   */
+  void closeNow() {
+    DescriptorBudget.readNow(channel);
+    channel.close();
+  }
+
   /** Counts bytes that arrived during the close; the caller releases them. */
   void countDiscarded(ByteBuf bytes) {
     discardedBytes += bytes.readableBytes();
