Date requests by the last time at which nothing was left to read

Cause: ArrivalTimeEstimate dated a connection by the last two returns of the selector, also after a pause of accepting, in which the selector does not watch the listening socket, and for the 17th and later clients of one backlog, as Netty accepts 16 in an iteration. The same holds for bytes that 16 reads of a connection leave behind.

Now one estimate, for the listening socket and for each connection, keeps the last time at which nothing was left to read: the accept or read found nothing more, or the selector watched the socket and did not report it. Why this works: whatever is read later arrived after that time, whatever happened in between.

LateEventLoopTest has two new tests, which fail before (deadlines 293.8 and 306.9 ms too late after a wait of 300 ms). Its test of a blocked loop now also counts the time that is reserved while the loop is late, which hid a part of the wait: stricter by 300 ms.

--- a/src/main/java/loadbalancer/proxy/eventloop/EventLoopMonitor.java
+++ b/src/main/java/loadbalancer/proxy/eventloop/EventLoopMonitor.java
@@ -96,6 +96,11 @@
     return millisSince(blocked ? selectedAtNanos : previousSelectedAtNanos);
   }
 
+  /** The time in milliseconds since the selector last returned. */
+  public double millisSinceSelect() {
+    return millisSince(selectedAtNanos);
+  }
+
   private double millisSince(long startNanos) {
     return (double) (nanoTime.getAsLong() - startNanos) / NANOS_PER_MILLI;
   }
--- a/src/main/java/loadbalancer/proxy/frontend/ArrivalTimeEstimate.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ArrivalTimeEstimate.java
@@ -1,41 +1,72 @@
 package loadbalancer.proxy.frontend;
 
+import java.util.function.DoubleSupplier;
 import loadbalancer.proxy.eventloop.EventLoopMonitor;
 
 /**
- * Estimates when what is read from one client connection arrived, from which deadlines count. Times
- * are in milliseconds of the instance's clock.
+ * Estimates when what is read from a socket arrived there: the bytes of a client connection, or the
+ * connections in the backlog of the listening socket. What one read leaves behind may wait for many
+ * iterations of the event loop, and what arrives while reading is paused waits until it is resumed.
+ * Times are in milliseconds of the instance's clock.
  */
 final class ArrivalTimeEstimate {
 
-  private final RequestDispatcher dispatcher;
+  private final DoubleSupplier clock;
   private final EventLoopMonitor monitor;
 
-  /** The earliest time at which the client may have connected; the accept may have come later. */
-  private final double earliestConnectAtMillis;
+  /** The latest time at which the socket is known to have had nothing to read. */
+  private double emptyAtMillis;
 
-  /** The number of the event loop's iteration that accepted the connection. */
-  private final long acceptIteration;
+  /** What arrives after this time is reported by the selector, unless reading is paused. */
+  private double watchedSinceMillis;
 
-  /** Creates the estimate of a connection that is being accepted. */
-  ArrivalTimeEstimate(RequestDispatcher dispatcher, EventLoopMonitor monitor) {
-    this.dispatcher = dispatcher;
+  private boolean paused;
+  private double earliestArrivalMillis;
+
+  /**
+   * Creates the estimate of a socket from which nothing has been read.
+   *
+   * @param emptyAtMillis a time at which there was nothing to read
+   */
+  ArrivalTimeEstimate(DoubleSupplier clock, EventLoopMonitor monitor, double emptyAtMillis) {
+    this.clock = clock;
     this.monitor = monitor;
-    earliestConnectAtMillis = earliestArrivalOfPendingEvents();
-    acceptIteration = monitor.iterationCount();
+    this.emptyAtMillis = emptyAtMillis;
+    watchedSinceMillis = clock.getAsDouble();
+    earliestArrivalMillis = emptyAtMillis;
   }
 
   /**
-   * The earliest time at which the bytes that are read now may have arrived; a request's deadline
-   * counts from then. Bytes read in the iteration of the accept, or in the next, may have arrived
-   * as early as the connection, which may have waited to be accepted.
+   * Called after each read.
+   *
+   * @param foundEmpty whether nothing was left to read
    */
-  double earliestArrivalOfReadBytes() {
-    boolean justAccepted = monitor.iterationCount() - acceptIteration <= 1;
-    return justAccepted ? earliestConnectAtMillis : earliestArrivalOfPendingEvents();
+  void onRead(boolean foundEmpty) {
+    double now = clock.getAsDouble();
+    double unreportedUntilMillis = now - monitor.longestWaitMillis();
+    if (!paused && unreportedUntilMillis > watchedSinceMillis) {
+      emptyAtMillis = unreportedUntilMillis;
+    }
+    earliestArrivalMillis = emptyAtMillis;
+    watchedSinceMillis = now;
+    if (foundEmpty) {
+      emptyAtMillis = Math.max(emptyAtMillis, now - monitor.millisSinceSelect());
+    }
+  }
+
+  /** Called when the selector no longer watches the socket. */
+  void onPaused() {
+    paused = true;
+  }
+
+  /** Called when the selector watches the socket again. */
+  void onResumed() {
+    paused = false;
+    watchedSinceMillis = clock.getAsDouble();
   }
 
-  private double earliestArrivalOfPendingEvents() {
-    return dispatcher.now() - monitor.longestWaitMillis();
+  /** The earliest time at which what the last read returned may have arrived. */
+  double earliestArrivalMillis() {
+    return earliestArrivalMillis;
   }
 }
--- a/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
@@ -18,7 +18,6 @@
 import java.util.Optional;
 import loadbalancer.proxy.eventloop.ClientEvictor.Eviction;
 import loadbalancer.proxy.eventloop.DescriptorBudget;
-import loadbalancer.proxy.eventloop.EventLoopMonitor;
 import loadbalancer.proxy.frontend.RequestPipeline.PipelinedRequest;
 import loadbalancer.proxy.logging.ProxyLogger;
 import loadbalancer.proxy.memory.MemoryBudgets;
@@ -62,16 +61,19 @@
   private boolean processing;
 
   ClientConnection(
-      Frontend frontend, RequestDispatcher dispatcher, EventLoopMonitor monitor, Channel channel) {
+      Frontend frontend,
+      RequestDispatcher dispatcher,
+      ArrivalTimeEstimate arrivalTime,
+      Channel channel) {
     this.frontend = frontend;
     this.dispatcher = dispatcher;
     this.channel = channel;
-    arrivalTime = new ArrivalTimeEstimate(dispatcher, monitor);
+    this.arrivalTime = arrivalTime;
     MemoryBudgets budgets = frontend.memoryBudgets();
     assembler =
         new RequestAssembler(
             channel, budgets, () -> rejectPartialRequest(RequestHeadValidator.noMemoryLeft()));
-    decoder = new ClientRequestDecoder(this::onFirstByte, assembler.headMemory());
+    decoder = new ClientRequestDecoder(this::onFirstByte, assembler.headMemory(), arrivalTime);
     pipeline = new RequestPipeline(frontend.pipelineBudget());
     currentRequest = new CurrentRequest(frontend, dispatcher, this);
     responseWriter = new ResponseWriter(channel, budgets.bodies(), this::onAllWritten);
@@ -249,7 +251,7 @@
 
   /** Adds a request; "too many requests sent ahead" means that the pipeline is over its limit. */
   private void enqueue(CountedRequest request) throws BadRequestException {
-    pipeline.add(request, arrivalTime.earliestArrivalOfReadBytes());
+    pipeline.add(request, arrivalTime.earliestArrivalMillis());
     if (pipeline.isOverLimit(currentRequest.isPresent())) {
       // Abandons the request in flight, or the error could be delayed until that one's deadline.
       pipeline.clear();
--- a/src/main/java/loadbalancer/proxy/frontend/ClientListener.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ClientListener.java
@@ -11,9 +11,11 @@
 import io.netty.channel.ServerChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.function.DoubleSupplier;
 import loadbalancer.proxy.config.ConfigurationException;
 import loadbalancer.proxy.eventloop.DescriptorBudget;
+import loadbalancer.proxy.eventloop.EventLoopMonitor;
 import loadbalancer.proxy.logging.ProxyLogger;
 import loadbalancer.proxy.memory.ReceiveBuffers;
 
@@ -29,6 +31,8 @@
   private final DescriptorBudget descriptors;
   private final DoubleSupplier clock;
 
+  private final ArrivalTimeEstimate connectTime;
+
   /** Null before {@link #bind}. */
   private Channel channel;
 
@@ -44,11 +48,17 @@
    * @param loop the event loop of the listening socket and of all accepted connections
    * @param descriptors decides whether clients may be accepted
    * @param clock the time in milliseconds
+   * @param monitor measures how late {@code loop} is
    */
-  ClientListener(EventLoop loop, DescriptorBudget descriptors, DoubleSupplier clock) {
+  ClientListener(
+      EventLoop loop,
+      DescriptorBudget descriptors,
+      DoubleSupplier clock,
+      EventLoopMonitor monitor) {
     this.loop = loop;
     this.descriptors = descriptors;
     this.clock = clock;
+    connectTime = new ArrivalTimeEstimate(clock, monitor, clock.getAsDouble());
   }
 
   /**
@@ -81,7 +91,7 @@
   }
 
   private ServerChannel newChannel() {
-    NioServerSocketChannel newChannel = new NioServerSocketChannel();
+    NioServerSocketChannel newChannel = new ObservedServerChannel();
     channel = newChannel;
     return newChannel;
   }
@@ -91,6 +101,11 @@
     return (InetSocketAddress) channel.localAddress();
   }
 
+  /** The earliest time at which the clients that are being accepted may have connected. */
+  double earliestConnectMillis() {
+    return connectTime.earliestArrivalMillis();
+  }
+
   /** Accepts some of the clients in the backlog, even while accepting is paused. */
   void acceptPending() {
     // A shutdown may begin before the address is bound.
@@ -103,6 +118,7 @@
   void pause() {
     if (channel.config().isAutoRead()) {
       channel.config().setAutoRead(false);
+      connectTime.onPaused();
       pausedAtMillis = clock.getAsDouble();
     }
   }
@@ -121,6 +137,7 @@
     resuming = false;
     if (hasRoom) {
       addPauseUntil(clock.getAsDouble());
+      connectTime.onResumed();
       channel.config().setAutoRead(true);
     }
   }
@@ -138,6 +155,17 @@
     return pausedMillis;
   }
 
+  /** Tells {@link #connectTime} of each accept. */
+  private final class ObservedServerChannel extends NioServerSocketChannel {
+
+    @Override
+    protected int doReadMessages(List<Object> accepted) throws Exception {
+      int count = super.doReadMessages(accepted);
+      connectTime.onRead(count == 0);
+      return count;
+    }
+  }
+
   /** Stops accepting after a failed accept. */
   private final class AcceptFailureHandler extends ChannelInboundHandlerAdapter {
 
--- a/src/main/java/loadbalancer/proxy/frontend/ClientRequestDecoder.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ClientRequestDecoder.java
@@ -32,6 +32,7 @@
 
   private final Runnable onFirstByte;
   private final HeadMemory headMemory;
+  private final ArrivalTimeEstimate arrivalTime;
 
   private boolean partialRequest;
   private boolean decoding;
@@ -48,10 +49,13 @@
    *
    * @param onFirstByte called when the first byte of a request has been received
    * @param headMemory counts the memory of the head that is being received
+   * @param arrivalTime estimates when the bytes that are decoded arrived
    */
-  ClientRequestDecoder(Runnable onFirstByte, HeadMemory headMemory) {
+  ClientRequestDecoder(
+      Runnable onFirstByte, HeadMemory headMemory, ArrivalTimeEstimate arrivalTime) {
     this.onFirstByte = onFirstByte;
     this.headMemory = headMemory;
+    this.arrivalTime = arrivalTime;
   }
 
   /** Whether bytes have been received since the last complete request. */
@@ -102,7 +106,10 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
-    int bytes = ((ByteBuf) message).readableBytes();
+    ByteBuf received = (ByteBuf) message;
+    // A read that does not fill its buffer leaves nothing in the kernel.
+    arrivalTime.onRead(received.isWritable());
+    int bytes = received.readableBytes();
     receivedBytes += bytes;
     if (discarding) {
       ReferenceCountUtil.release(message);
--- a/src/main/java/loadbalancer/proxy/frontend/Frontend.java
+++ b/src/main/java/loadbalancer/proxy/frontend/Frontend.java
@@ -83,7 +83,7 @@
     this.dispatcher = dispatcher;
     this.monitor = monitor;
     validator = new RequestValidator(config);
-    listener = new ClientListener(loop, descriptors, dispatcher::now);
+    listener = new ClientListener(loop, descriptors, dispatcher::now, monitor);
     evictor = new InactiveClientEvictor(connections);
     descriptors.onEvictClient(evictor);
   }
@@ -171,8 +171,10 @@
 
     @Override
     protected void initChannel(Channel channel) {
+      ArrivalTimeEstimate arrivalTime =
+          new ArrivalTimeEstimate(dispatcher::now, monitor, listener.earliestConnectMillis());
       ClientConnection connection =
-          new ClientConnection(Frontend.this, dispatcher, monitor, channel);
+          new ClientConnection(Frontend.this, dispatcher, arrivalTime, channel);
       channel.pipeline().addLast(connection.decoder(), new HttpResponseEncoder(), connection);
     }
   }
--- a/src/test/java/loadbalancer/proxy/LateEventLoopTest.java
+++ b/src/test/java/loadbalancer/proxy/LateEventLoopTest.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.ByteArrayInputStream;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -34,6 +35,9 @@
 
   private static final int BLOCKED_MILLIS = 300;
 
+  /** Netty accepts 16 clients in an iteration of the event loop. */
+  private static final int CLIENTS_OF_THREE_BATCHES = 33;
+
   /** The server's clock and the system's clock differ by a millisecond at most. */
   private static final double CLOCK_TOLERANCE_MILLIS = 2;
 
@@ -120,13 +124,73 @@
             writtenAt[0] = fixture.server.now();
             TimeUnit.MILLISECONDS.sleep(BLOCKED_MILLIS);
           });
-      double deadline = ScriptedPolicy.takeNext(requests).deadlineMillis();
-      assertTrue(
-          deadline <= writtenAt[0] + 10_000 + CLOCK_TOLERANCE_MILLIS,
-          deadline - writtenAt[0] + " ms from the writing of the request to its deadline");
+      assertDeadlineCountsFrom(writtenAt[0], ScriptedPolicy.takeNext(requests));
+    }
+  }
+
+  /**
+   * Guards against the failure of review/3: requests of clients that waited in the backlog were
+   * forwarded with time that the clients no longer had.
+   */
+  @Test
+  void deadlineCountsTheTimeThatClientsWaitedForThoseAcceptedBefore() throws Exception {
+    try (ProxyFixture fixture = new ProxyFixture().start()) {
+      LinkedBlockingQueue<ClientRequest> requests = new LinkedBlockingQueue<>();
+      fixture.policy.onRequest = requests::add;
+      double[] writtenAt = new double[1];
+      blockEventLoop(
+          fixture,
+          () -> {
+            for (int i = 0; i < CLIENTS_OF_THREE_BATCHES; i++) {
+              writeRequest(fixture, i);
+            }
+            writtenAt[0] = fixture.server.now();
+            TimeUnit.MILLISECONDS.sleep(BLOCKED_MILLIS);
+          });
+      for (int i = 0; i < CLIENTS_OF_THREE_BATCHES; i++) {
+        assertDeadlineCountsFrom(writtenAt[0], ScriptedPolicy.takeNext(requests));
+      }
+    }
+  }
+
+  /** Guards against the failure of review/3, see above. */
+  @Test
+  void deadlineCountsTheTimeThatClientsWaitedWhileAcceptingWasPaused() throws Exception {
+    try (ProxyFixture fixture = new ProxyFixture()) {
+      int maxConnections = 5;
+      fixture.maxDescriptors = 64 + maxConnections;
+      fixture.start();
+      LinkedBlockingQueue<ClientRequest> requests = new LinkedBlockingQueue<>();
+      fixture.policy.onRequest = requests::add;
+      HttpPeer busyClient = writeRequest(fixture, 0);
+      ScriptedPolicy.takeNext(requests);
+      for (int i = 1; i < maxConnections; i++) {
+        writeRequest(fixture, i);
+        ScriptedPolicy.takeNext(requests);
+      }
+      writeRequest(fixture, maxConnections);
+      double writtenAt = fixture.server.now();
+      blockEventLoop(fixture, () -> TimeUnit.MILLISECONDS.sleep(BLOCKED_MILLIS));
+      blockEventLoop(fixture, () -> {});
+      busyClient.close();
+      assertDeadlineCountsFrom(writtenAt, ScriptedPolicy.takeNext(requests));
     }
   }
 
+  private static HttpPeer writeRequest(ProxyFixture fixture, int id) throws IOException {
+    HttpPeer client = fixture.connectClient();
+    client.write(ProxyFixture.idempotentRequest(Integer.toString(id), "10"));
+    return client;
+  }
+
+  /** A late event loop reserves as much time for the response as it was blocked. */
+  private static void assertDeadlineCountsFrom(double writtenAt, ClientRequest request) {
+    double millisToDeadline = request.deadlineMillis() - writtenAt;
+    assertTrue(
+        millisToDeadline <= 10_000 - BLOCKED_MILLIS + CLOCK_TOLERANCE_MILLIS,
+        millisToDeadline + " ms from the writing of the request to its deadline");
+  }
+
   @Test
   void lateEventLoopReservesMoreOfTheDeadlineForTheResponse() throws Exception {
     try (ProxyFixture fixture = new ProxyFixture().start()) {
