Read what the kernel holds before a request is rejected after its timeout

Cause: checkTimeouts rejected a request received in part without a look at the kernel; the read that followed only discarded input. It now shares rejectUnlessCompleted with the eviction for room, which reads first. A request that is answered in that read is not taken for the next one on its connection, which may be arriving already.

ClientEvictionTest.requestThatUnreadBytesCompleteIsServedAfterItsTimeout forces the order on the event loop; it fails before ('no connection was accepted within 20000 ms').

--- a/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
@@ -124,32 +124,36 @@
       lingeringClose.closeNow();
       return Eviction.IDLE;
     }
-    if (decoder.hasPartialRequest()) {
-      return evictPartialRequest();
+    if (!decoder.hasPartialRequest()) {
+      return closeIfIdle() ? Eviction.IDLE : Eviction.NONE;
     }
-    return closeIfIdle() ? Eviction.IDLE : Eviction.NONE;
+    if (!rejectUnlessCompleted(BadRequestException.noConnectionLeft())) {
+      return Eviction.NONE;
+    }
+    channel.close();
+    return Eviction.PARTIAL_REQUEST;
   }
 
   /**
-   * Rejects a request received in part and closes the connection, unless the client has
-   * disconnected or what the kernel holds completes the request, which would be lost.
+   * Rejects a request received in part, unless what the kernel holds completes it.
+   *
+   * @return false if the request is complete
    */
-  private Eviction evictPartialRequest() {
+  private boolean rejectUnlessCompleted(BadRequestException reason) {
+    double activeAtMillis = timeouts.lastActivityAtMillis();
     if (isConnected()) {
-      if (!isReceivingRequest()) {
-        return Eviction.NONE;
+      // If the request has been answered at once, another one may be arriving already.
+      if (!isReceivingRequest() || timeouts.lastActivityAtMillis() > activeAtMillis) {
+        return false;
       }
-      rejectPartialRequest(BadRequestException.noConnectionLeft());
-      channel.close();
+      rejectPartialRequest(reason);
     }
-    return Eviction.PARTIAL_REQUEST;
+    return true;
   }
 
   /**
    * Closes the connection if it is idle and no request waits unread in the kernel, which would be
-   * lost.
-   *
-   * @return whether the connection is closed
+   * lost. Returns whether the connection is closed.
    */
   boolean closeIfIdle() {
     if (isIdle()) {
@@ -197,7 +201,7 @@
       }
     } else if (decoder.hasPartialRequest()) {
       if (!currentRequest.isPresent() && timeouts.isRequestOverdue(now)) {
-        rejectPartialRequest(BadRequestException.tooSlow());
+        rejectUnlessCompleted(BadRequestException.tooSlow());
       }
     } else if (timeouts.isIdleTooLong(now)) {
       closeIfIdle();
--- a/src/test/java/loadbalancer/proxy/frontend/ClientEvictionTest.java
+++ b/src/test/java/loadbalancer/proxy/frontend/ClientEvictionTest.java
@@ -13,7 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** Connections without a complete request give way when their descriptors are needed. */
+/** Connections without a complete request are closed for others or after a timeout. */
 @Timeout(60)
 class ClientEvictionTest {
 
@@ -84,6 +84,27 @@
     }
   }
 
+  /** Guards against a 408 for a request whose last bytes are unread when its timeout is checked. */
+  @Test
+  void requestThatUnreadBytesCompleteIsServedAfterItsTimeout() throws Exception {
+    try (ProxyFixture fixture = startWithFewDescriptors()) {
+      String request = ProxyFixture.idempotentRequest("1", "10");
+      HttpPeer client = fixture.connectClient();
+      client.write(request.substring(0, request.length() - 1));
+      checkHealth(fixture.connectClient());
+      fixture.server.onLoop(
+          (frontend, upstreams) -> {
+            writeUnchecked(client, request.substring(request.length() - 1));
+            frontend.checkTimeouts(fixture.server.now() + 3_000);
+            return null;
+          });
+      HttpPeer upstream = fixture.upstreams.get(0).accept();
+      assertEquals("1", upstream.read().header("X-Txn"));
+      upstream.write(ProxyFixture.okResponse("complete"));
+      assertEquals("complete", client.read().body());
+    }
+  }
+
   /** A request received in part behind one in flight must not take that one's response with it. */
   @Test
   void connectionWithRequestInFlightDoesNotGiveWay() throws Exception {
