Let clients that have stopped give way before clients that write slowly

The eviction for room counted a connection's inactivity from the first byte of its request, so under a stream of clients that stop inside a request every slow writer became the oldest. Now the last byte received counts.

ClientEvictionTest.clientThatStillWritesOutlastsOnesThatHaveStopped forces the order: a client that writes byte by byte among new clients that stop.

--- a/src/main/java/loadbalancer/proxy/eventloop/ClientEvictor.java
+++ b/src/main/java/loadbalancer/proxy/eventloop/ClientEvictor.java
@@ -2,9 +2,9 @@
 
 /**
  * Closes client connections whose descriptors are needed for other connections. A connection is
- * inactive since the latest of its accept, its last response, and the first byte of the request
- * after it; those that have been inactive for the longest time are closed first. Times are in
- * milliseconds of the instance's clock.
+ * inactive since the latest of its accept, its last response, and the last byte received; those
+ * that have been inactive for the longest time are closed first. Times are in milliseconds of the
+ * instance's clock.
  */
 public interface ClientEvictor {
 
--- a/src/main/java/loadbalancer/proxy/eventloop/DescriptorBudget.java
+++ b/src/main/java/loadbalancer/proxy/eventloop/DescriptorBudget.java
@@ -27,7 +27,7 @@
 
   /**
    * A client that has been idle for longer than this is unlikely to send a request soon, and one
-   * whose request has been incomplete for longer is unlikely to complete it soon.
+   * that has stopped inside a request for longer is unlikely to complete it soon.
    */
   private static final double LONG_INACTIVE_CLIENT_MILLIS = 300;
 
--- a/src/main/java/loadbalancer/proxy/frontend/ArrivalTimeEstimate.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ArrivalTimeEstimate.java
@@ -21,6 +21,7 @@
   private double watchedSinceMillis;
 
   private boolean paused;
+  private double lastReadAtMillis;
   private double earliestArrivalMillis;
 
   /**
@@ -32,7 +33,8 @@
     this.clock = clock;
     this.monitor = monitor;
     this.emptyAtMillis = emptyAtMillis;
-    watchedSinceMillis = clock.getAsDouble();
+    lastReadAtMillis = clock.getAsDouble();
+    watchedSinceMillis = lastReadAtMillis;
     earliestArrivalMillis = emptyAtMillis;
   }
 
@@ -48,6 +50,7 @@
       emptyAtMillis = unreportedUntilMillis;
     }
     earliestArrivalMillis = emptyAtMillis;
+    lastReadAtMillis = now;
     watchedSinceMillis = now;
     if (foundEmpty) {
       emptyAtMillis = Math.max(emptyAtMillis, now - monitor.millisSinceSelect());
@@ -65,6 +68,11 @@
     watchedSinceMillis = clock.getAsDouble();
   }
 
+  /** The time of the last read; before the first one, of the creation of this estimate. */
+  double lastReadAtMillis() {
+    return lastReadAtMillis;
+  }
+
   /** The earliest time at which what the last read returned may have arrived. */
   double earliestArrivalMillis() {
     return earliestArrivalMillis;
--- a/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
@@ -85,9 +85,9 @@
     return decoder;
   }
 
-  /** The latest of the accept, the last response, and the first byte of the request after it. */
+  /** The latest of the accept, the last response, and the last byte received. */
   double lastActivityAtMillis() {
-    return timeouts.lastActivityAtMillis();
+    return Math.max(timeouts.lastActivityAtMillis(), arrivalTime.lastReadAtMillis());
   }
 
   private boolean isIdle() {
--- a/src/test/java/loadbalancer/proxy/frontend/ClientEvictionTest.java
+++ b/src/test/java/loadbalancer/proxy/frontend/ClientEvictionTest.java
@@ -84,6 +84,25 @@
     }
   }
 
+  /** Guards against the rejection of slow writers for clients that have stopped. */
+  @Test
+  void clientThatStillWritesOutlastsOnesThatHaveStopped() throws Exception {
+    try (ProxyFixture fixture = startWithFewDescriptors()) {
+      String request = ProxyFixture.idempotentRequest("1", "10");
+      HttpPeer slowClient = fixture.connectClient();
+      for (int i = 0; i < request.length() - 1; i++) {
+        slowClient.write(request.substring(i, i + 1));
+        connectPartialClients(fixture, 1);
+        checkHealth(fixture.connectClient());
+      }
+      slowClient.write(request.substring(request.length() - 1));
+      HttpPeer upstream = fixture.upstreams.get(0).accept();
+      upstream.read();
+      upstream.write(ProxyFixture.okResponse("patience"));
+      assertEquals("patience", slowClient.read().body());
+    }
+  }
+
   /** Guards against a 408 for a request whose last bytes are unread when its timeout is checked. */
   @Test
   void requestThatUnreadBytesCompleteIsServedAfterItsTimeout() throws Exception {
