Keep accepting resumable if the check for room throws

resumeIfRoom marked itself as running and would have stayed marked after an exception, so that accepting never resumed. Found by reading; no test forces it.

--- a/src/main/java/loadbalancer/proxy/frontend/ClientListener.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ClientListener.java
@@ -36,7 +36,7 @@
   /** Null before {@link #bind}. */
   private Channel channel;
 
-  /** Whether it is being checked if accepting can be resumed, which may end other requests. */
+  /** Whether {@link #resumeIfRoom} is running, which may cause a response that calls it again. */
   private boolean resuming;
 
   private double pausedAtMillis;
@@ -133,12 +133,14 @@
       return;
     }
     resuming = true;
-    boolean hasRoom = descriptors.canAcceptClient(clock.getAsDouble());
-    resuming = false;
-    if (hasRoom) {
-      addPauseUntil(clock.getAsDouble());
-      connectTime.onResumed();
-      channel.config().setAutoRead(true);
+    try {
+      if (descriptors.canAcceptClient(clock.getAsDouble())) {
+        addPauseUntil(clock.getAsDouble());
+        connectTime.onResumed();
+        channel.config().setAutoRead(true);
+      }
+    } finally {
+      resuming = false;
     }
   }
 
