Reject responses with a transfer coding that the balancer doesn't know

What callers saw: an endpoint's response with "Transfer-Encoding: gzip, chunked", or with an unknown coding beside a Content-Length, was passed on as a plain 200.

Cause: Netty's decoder looks for the coding "chunked" among the codings and ignores the others, and the aggregator removes only a value that is "chunked" alone. UpstreamConnection did not look at what was left.

Change: a response that still has Transfer-Encoding after aggregation is invalid, with the outcome ERROR, and its connection is closed.

Measured: the three new rows of UpstreamResponseTest.invalidOrStalledResponseIsAnErrorAndClosesTheConnection failed before ("expected ERROR but was OK") and pass now.

--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnection.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -199,11 +200,13 @@
 
   /**
    * Whether the response is well-formed and can belong to the attempt. A success that arrives
-   * before the request is completely written belongs to another request.
+   * before the request is completely written belongs to another request. The aggregator has removed
+   * the transfer coding {@code chunked}, so one that is left is unknown, and so is the body.
    */
   private boolean isValid(FullHttpResponse response) {
     return attempt != null
         && response.decoderResult().isSuccess()
+        && !response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
         && (attempt.isWritten() || response.status().code() != HttpResponseStatus.OK.code());
   }
 
--- a/src/test/java/loadbalancer/proxy/upstream/UpstreamResponseTest.java
+++ b/src/test/java/loadbalancer/proxy/upstream/UpstreamResponseTest.java
@@ -108,6 +108,10 @@
         "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2\r\n\r\nab",
         "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nab",
         "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nmore and more",
+        // Coded in a way that is unknown here: the client would take the coded bytes for the body.
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\nContent-Length: 2\r\n\r\nab",
         // Stalled: the rest is never sent.
         "HTTP/1.1 200 OK\r\nContent-Le",
         "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
