Forward a response without a length that a FIN ends

What callers saw: a response with neither Content-Length nor chunks was never forwarded. A request that must not run twice was answered 502 although it had run; any other was sent to another endpoint.

Cause: UpstreamConnection took every end of the connection in a response for a lost connection. By default Netty reports a FIN and a reset by the same channelInactive, in which its decoder completes such a body.

Change: connections to endpoints allow half-closure, so that a FIN is an event while the channel is still active; the decoder completes the response in it, and the connection is closed right after. A reset, a timeout, a cancellation and the end of the event loop still complete a body without a length only in an inactive channel: the attempt is lost. A head that is cut off is told by its decoder result.

Discovery's lists were right already; DiscoveryClientTest shows it.

--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnection.java
@@ -1,8 +1,9 @@
 package loadbalancer.proxy.upstream;
 
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -35,7 +36,7 @@
   /** A body in more pieces than this is copied into one: each piece takes some heap. */
   private static final int MAX_BODY_PIECES = 128;
 
-  private final Channel channel;
+  private final SocketChannel channel;
   private final ConnectionPool pool;
   private final HeadMemory headMemory;
   private final UpstreamResponseDecoder decoder;
@@ -56,7 +57,7 @@
   /** The number of 1xx responses to the current request. */
   private int interimResponses;
 
-  UpstreamConnection(Channel channel, ConnectionPool pool, MemoryBudgets memoryBudgets) {
+  UpstreamConnection(SocketChannel channel, ConnectionPool pool, MemoryBudgets memoryBudgets) {
     this.channel = channel;
     this.pool = pool;
     headMemory = new HeadMemory(memoryBudgets.heads());
@@ -175,9 +176,7 @@
   }
 
   private void handle(FullHttpResponse response) {
-    if (attempt != null && !channel.isActive()) {
-      // Only the end of the connection completed this response, so it may be truncated, as by a
-      // crash of the endpoint.
+    if (attempt != null && isTruncated(response)) {
       attempt.connectionLost();
     } else if (!isValid(response)) {
       protocolViolation();
@@ -188,6 +187,16 @@
     }
   }
 
+  /**
+   * Whether the response was cut off. The end of the connection completes a response that has no
+   * length, but only a FIN shows that the endpoint has sent all of it. After a FIN the channel is
+   * still active here; after a reset, or a close by this process, it is not.
+   */
+  private boolean isTruncated(FullHttpResponse response) {
+    return !channel.isActive()
+        || response.decoderResult().cause() instanceof PrematureChannelClosureException;
+  }
+
   private void messageCompleted() {
     boolean moreReceived = decoder.hasBufferedBytes();
     if (moreReceived) {
@@ -224,7 +233,8 @@
     boolean reusable =
         answeredAttempt.isWritten()
             && HttpUtil.isKeepAlive(response)
-            && !decoder.hasBufferedBytes();
+            && !decoder.hasBufferedBytes()
+            && !channel.isInputShutdown();
     answeredAttempt.responseReceived(response);
     // Released only after the attempt is notified: the policy may react with another attempt, which
     // would acquire this connection and read from it although it is just being read.
@@ -235,6 +245,16 @@
     }
   }
 
+  /** Closes the connection after a FIN, once the decoder has completed the response with it. */
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      // Calls channelInactive, which notifies the attempt if its response is incomplete.
+      channel.close();
+    }
+    ctx.fireUserEventTriggered(event);
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     stallDetector.cancel();
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnector.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnector.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import loadbalancer.model.PolicySettings;
 import loadbalancer.proxy.discovery.EndpointListUpdate.Entry;
@@ -51,18 +52,20 @@
             .option(ChannelOption.ALLOCATOR, allocator)
             .option(ChannelOption.RECVBUF_ALLOCATOR, ReceiveBuffers.newAllocator())
             .option(ChannelOption.TCP_NODELAY, true)
+            // Without it, Netty reports a FIN and a reset in the same way.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutMillis))
             .handler(
-                new ChannelInitializer<Channel>() {
+                new ChannelInitializer<SocketChannel>() {
                   @Override
-                  protected void initChannel(Channel channel) {
+                  protected void initChannel(SocketChannel channel) {
                     newConnection(channel).addToPipeline();
                   }
                 });
     useOptions(options);
   }
 
-  private UpstreamConnection newConnection(Channel channel) {
+  private UpstreamConnection newConnection(SocketChannel channel) {
     return new UpstreamConnection(channel, pool, memoryBudgets);
   }
 
--- a/src/test/java/loadbalancer/proxy/ProxyFixture.java
+++ b/src/test/java/loadbalancer/proxy/ProxyFixture.java
@@ -1,6 +1,7 @@
 package loadbalancer.proxy;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -201,6 +202,32 @@
     }
   }
 
+  /** An action on the sockets of a test. */
+  public interface SocketAction {
+    void run() throws IOException;
+  }
+
+  /**
+   * Runs an action on the event loop. The load balancer reads nothing meanwhile, so it then finds
+   * all that the action has sent at once, up to the end of the connection.
+   */
+  public void runOnLoop(SocketAction action) throws InterruptedException {
+    server.onLoop(
+        (frontend, upstreamClient) -> {
+          try {
+            action.run();
+          } catch (IOException e) {
+            throw new UncheckedIOException(e);
+          }
+          return null;
+        });
+  }
+
+  /** Stops the load balancer's event loop at once, even with requests in flight. */
+  public void killServer() {
+    server.kill();
+  }
+
   @Override
   public void close() throws IOException {
     for (HttpPeer client : clients) {
--- a/src/test/java/loadbalancer/proxy/discovery/DiscoveryClientTest.java
+++ b/src/test/java/loadbalancer/proxy/discovery/DiscoveryClientTest.java
@@ -352,6 +352,28 @@
       }
     }
 
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void listWithoutLengthIsAppliedOnlyIfAFinEndsIt(boolean abruptly) throws Exception {
+      try (fixture) {
+        startProxy();
+        HttpPeer watch = fixture.discovery.accept();
+        watch.read();
+        fixture.runOnLoop(
+            () -> {
+              watch.write("HTTP/1.1 200 OK\r\n\r\n" + ProxyFixture.endpointList(42, false));
+              if (abruptly) {
+                watch.reset();
+              } else {
+                watch.close();
+              }
+            });
+        assertEquals(
+            abruptly ? EndpointUpdateType.FAILED : EndpointUpdateType.DELTA,
+            ScriptedPolicy.takeNext(fixture.policy.updates));
+      }
+    }
+
     @Test
     void truncatedListLeavesAllSixtyEndpointsInUse() throws Exception {
       try (ProxyFixture proxy = new ProxyFixture(60)) {
