Close the channels when a test ends the event loop with requests in flight

Cause: ResponseEndTest.endOfTheEventLoopEndsNoResponse failed once, as the connection to the endpoint stayed open for 20 s. ProxyServer.kill() stops the loop without a quiet period, and Netty's loop may then end in the iteration in which it is told to, before it closes its channels. Both ends were ESTABLISHED in /proc/net/tcp, and no attempt had an outcome.

Change: the test uses closeChannelsAndStop(), with a quiet period of 200 ms. kill() is as before, for the tests that need no closed channel.

--- a/src/main/java/loadbalancer/proxy/ProxyServer.java
+++ b/src/main/java/loadbalancer/proxy/ProxyServer.java
@@ -63,6 +63,11 @@
 
   private static final long REPORT_INTERVAL_MILLIS = 5_000;
 
+  private static final long STOP_TIMEOUT_MILLIS = 1_000;
+
+  /** Keeps the event loop from ending in the iteration in which it is told to. */
+  private static final long STOP_QUIET_PERIOD_MILLIS = 200;
+
   /** An interval is reported only if an iteration of the event loop in it took longer than this. */
   private static final long LATENESS_REPORT_THRESHOLD_MILLIS = 100;
 
@@ -292,8 +297,19 @@
     return loop.submit(() -> action.apply(frontend, upstreams)).sync().getNow();
   }
 
-  /** For tests: stops the event loop at once, even with requests in flight. */
+  /** For tests: stops the event loop at once, even with requests in flight and channels open. */
   void kill() {
-    loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    stopLoop(0);
+  }
+
+  /** For tests: stops the event loop after an iteration in which it closes all channels. */
+  void closeChannelsAndStop() {
+    stopLoop(STOP_QUIET_PERIOD_MILLIS);
+  }
+
+  private void stopLoop(long quietPeriodMillis) {
+    loop.parent()
+        .shutdownGracefully(quietPeriodMillis, STOP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        .awaitUninterruptibly();
   }
 }
--- a/src/test/java/loadbalancer/proxy/ProxyFixture.java
+++ b/src/test/java/loadbalancer/proxy/ProxyFixture.java
@@ -223,9 +223,9 @@
         });
   }
 
-  /** Stops the load balancer's event loop at once, even with requests in flight. */
-  public void killServer() {
-    server.kill();
+  /** Stops the load balancer's event loop, which closes all channels, with requests in flight. */
+  public void closeChannelsAndStop() {
+    server.closeChannelsAndStop();
   }
 
   @Override
--- a/src/test/java/loadbalancer/proxy/upstream/ResponseEndTest.java
+++ b/src/test/java/loadbalancer/proxy/upstream/ResponseEndTest.java
@@ -279,7 +279,7 @@
     HttpPeer upstream = sendRequest();
     upstream.write("HTTP/1.1 200 OK\r\n\r\nbody");
     awaitInputRead(proxy);
-    proxy.killServer();
+    proxy.closeChannelsAndStop();
     assertTrue(upstream.isClosedByPeer());
     for (var result = proxy.policy.results.poll();
         result != null;
