Reject chunk sizes that the decoder takes for others

What callers saw: a response whose body is cut off by the chunk size was passed on as a whole 200, and a request with such a size was forwarded with the part before it.

Change: ChunkSizeValidator reads the sizes of what both decoders have decoded and replaces the result of a malformed one by a failure: the outcome ERROR for a response, 400 for a request.

Measured: of the 14 malformed chunks of ResponseEndTest, the three new rows failed before ("expected ERROR but was OK"), and pass now.

--- a/src/main/java/loadbalancer/proxy/frontend/ClientRequestDecoder.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ClientRequestDecoder.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import loadbalancer.proxy.eventloop.DescriptorBudget;
 import loadbalancer.proxy.memory.HeadMemory;
+import loadbalancer.proxy.protocol.ChunkSizeValidator;
 
 /**
  * Decodes requests and keeps track of whether one has been received in part. After a protocol
@@ -33,6 +34,7 @@
   private final Runnable onFirstByte;
   private final HeadMemory headMemory;
   private final ArrivalTimeEstimate arrivalTime;
+  private final ChunkSizeValidator chunkSizeValidator = new ChunkSizeValidator();
 
   private boolean partialRequest;
   private boolean decoding;
@@ -148,9 +150,10 @@
       in.skipBytes(in.readableBytes());
       return;
     }
-    int readableBefore = in.readableBytes();
+    int start = in.readerIndex();
     super.decode(ctx, in, out);
-    headMemory.countDecoded(readableBefore - in.readableBytes(), out);
+    chunkSizeValidator.validate(in, start, out);
+    headMemory.countDecoded(in.readerIndex() - start, out);
     if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
       partialRequest = in.isReadable();
     }
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamResponseDecoder.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamResponseDecoder.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import loadbalancer.proxy.memory.HeadMemory;
+import loadbalancer.proxy.protocol.ChunkSizeValidator;
 
 /**
  * An HTTP response decoder that checks the received bytes before Netty's decoder gets them. Netty's
@@ -35,6 +36,7 @@
 
   private final Connection connection;
   private final HeadMemory headMemory;
+  private final ChunkSizeValidator chunkSizeValidator = new ChunkSizeValidator();
 
   /** How many bytes of the version prefix the current response has matched so far. */
   private int matchedPrefixBytes;
@@ -86,9 +88,10 @@
 
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
-    int readableBefore = in.readableBytes();
+    int start = in.readerIndex();
     super.decode(ctx, in, out);
-    headMemory.countDecoded(readableBefore - in.readableBytes(), out);
+    chunkSizeValidator.validate(in, start, out);
+    headMemory.countDecoded(in.readerIndex() - start, out);
   }
 
   /** Rejects a header line without a colon, which Netty would accept as a name without a value. */
--- a/src/test/java/loadbalancer/proxy/frontend/FrontendTest.java
+++ b/src/test/java/loadbalancer/proxy/frontend/FrontendTest.java
@@ -115,6 +115,8 @@
               + "Transfer-Encoding: gzip\r\n\r\n",
           "POST /credit-spend HTTP/1.1\r\nX-Txn: 1\r\nX-Lane: credit-spend\r\nX-Remaining: 1\r\n"
               + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+          "POST /credit-spend HTTP/1.1\r\nX-Txn: 1\r\nX-Lane: credit-spend\r\nX-Remaining: 1\r\n"
+              + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n100000000\r\n\r\n",
           "POST /credit-spend HTTP/1.1\r\nX-Txn: 1\r\nX-Lane: credit-spend\r\nX-Remaining: 1\r\n"
               + "Content-Length: 60\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
               + "POST /credit-spend HTTP/1.1\r\nX-Txn: 2\r\n"
--- a/src/test/java/loadbalancer/proxy/upstream/ResponseEndTest.java
+++ b/src/test/java/loadbalancer/proxy/upstream/ResponseEndTest.java
@@ -197,11 +197,14 @@
         "-4\r\nfour\r\n0\r\n\r\n",
         "+4\r\nfour\r\n0\r\n\r\n",
         "0x4\r\nfour\r\n0\r\n\r\n",
+        "4 4\r\nfour\r\n0\r\n\r\n",
         "4\r\nfourXX0\r\n\r\n",
         "4\r\nfour0\r\n\r\n",
         "4\r\nfourfive\r\n0\r\n\r\n",
         "4\r\nfour\r\n\r\n0\r\n\r\n",
         "4\nfour\n0\n\n",
+        "100000004\r\nfour\r\n0\r\n\r\n",
+        "4\r\nfour\r\n100000000\r\n\r\n",
         "4\r\nfour\r\nffffffff\r\n\r\n"
       })
   void finEndsNoResponseWithAMalformedChunk(String chunks) throws Exception {
