Let ResponseWriter own the last response and the close of a client connection

The state of the last response and the lingering close move to ResponseWriter, which writes the responses; no behaviour changes.

--- a/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
@@ -29,15 +29,6 @@
 final class ClientConnection extends ChannelInboundHandlerAdapter
     implements RequestDispatcher.Responder {
 
-  private enum State {
-    /** Requests are read and answered. */
-    SERVING,
-    /** The last response is being written; further requests are discarded. */
-    WRITING_LAST_RESPONSE,
-    /** The last response is written; the client has a limited time to close its side. */
-    LINGERING
-  }
-
   private static final String HEALTH_CHECK_PATH = "/_health";
 
   private final Frontend frontend;
@@ -49,11 +40,8 @@
   private final RequestPipeline pipeline;
   private final CurrentRequest currentRequest;
   private final ResponseWriter responseWriter;
-  private final LingeringClose lingeringClose;
   private final ConnectionTimeouts timeouts;
 
-  private State state = State.SERVING;
-
   /** Answered after the requests before it, and input after it is discarded; null if none. */
   private BadRequestException protocolViolation;
 
@@ -76,8 +64,7 @@
     decoder = new ClientRequestDecoder(this::onFirstByte, assembler.headMemory(), arrivalTime);
     pipeline = new RequestPipeline(frontend.pipelineBudget());
     currentRequest = new CurrentRequest(frontend, dispatcher, this);
-    responseWriter = new ResponseWriter(channel, budgets.bodies(), this::onAllWritten);
-    lingeringClose = new LingeringClose(channel, decoder);
+    responseWriter = new ResponseWriter(channel, decoder, budgets.bodies());
     timeouts = new ConnectionTimeouts(dispatcher.now());
   }
 
@@ -103,7 +90,7 @@
   }
 
   private boolean hasNothingToAnswer() {
-    return state == State.SERVING
+    return responseWriter.isOpen()
         && !currentRequest.isPresent()
         && pipeline.isEmpty()
         && protocolViolation == null
@@ -113,15 +100,15 @@
   /** Whether {@link #evict} may close the connection. */
   boolean isEvictable(boolean evenWithPartialRequest) {
     return channel.isOpen()
-        && (state == State.LINGERING
+        && (responseWriter.isLingering()
             || isIdle()
             || (evenWithPartialRequest && isReceivingRequest()));
   }
 
   /** Closes an evictable connection, since its descriptor is needed for another one. */
   Eviction evict() {
-    if (state == State.LINGERING) {
-      lingeringClose.closeNow();
+    if (responseWriter.isLingering()) {
+      responseWriter.closeLingering();
       return Eviction.IDLE;
     }
     if (!decoder.hasPartialRequest()) {
@@ -168,7 +155,7 @@
   /** Closes the connection unless a response is due; a request received in part is rejected. */
   void beginForcedShutdown() {
     DescriptorBudget.readNow(channel);
-    if (decoder.hasPartialRequest() && protocolViolation == null && state == State.SERVING) {
+    if (decoder.hasPartialRequest() && protocolViolation == null && responseWriter.isOpen()) {
       rejectPartialRequest(BadRequestException.tooLate());
     }
     closeIfIdle();
@@ -195,7 +182,7 @@
 
   /** Closes the connection, or rejects the request received in part, if its timeout is over. */
   void checkTimeouts(double now) {
-    if (state != State.SERVING || responseWriter.hasPendingWrites()) {
+    if (!responseWriter.isOpen() || responseWriter.hasPendingWrites()) {
       if (timeouts.isWriteOverdue(now)) {
         channel.close();
       }
@@ -224,8 +211,8 @@
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     try {
       if (message instanceof ByteBuf bytes) {
-        lingeringClose.countDiscarded(bytes);
-      } else if (state == State.SERVING && protocolViolation == null) {
+        responseWriter.countDiscarded(bytes);
+      } else if (responseWriter.isOpen() && protocolViolation == null) {
         assemble(message);
       }
     } catch (BadRequestException e) {
@@ -306,7 +293,7 @@
   }
 
   private boolean hasNext() {
-    return state == State.SERVING
+    return responseWriter.isOpen()
         && !currentRequest.isPresent()
         && (protocolViolation != null || !pipeline.isEmpty());
   }
@@ -330,7 +317,7 @@
 
   /** Writes an error response and closes: what follows a bad request can't be trusted. */
   private void reject(BadRequestException violation) {
-    state = State.WRITING_LAST_RESPONSE;
+    responseWriter.beginLastResponse();
     pipeline.clear();
     ByteBuf body = Unpooled.copiedBuffer(violation.getMessage() + "\n", StandardCharsets.UTF_8);
     write(violation.status(), body, 0);
@@ -344,13 +331,13 @@
   /** Writes a response and processes the next request. Takes ownership of {@code body}. */
   private void write(HttpResponseStatus status, ByteBuf body, double retryAfterMillis) {
     if (isLastResponse()) {
-      state = State.WRITING_LAST_RESPONSE;
+      responseWriter.beginLastResponse();
       discardInput();
     }
     currentRequest.finish();
     timeouts.onResponse(dispatcher.now());
-    responseWriter.write(status, body, retryAfterMillis, state != State.SERVING);
-    if (state == State.SERVING) {
+    responseWriter.write(status, body, retryAfterMillis);
+    if (responseWriter.isOpen()) {
       processNext();
     } else {
       pipeline.clear();
@@ -363,14 +350,7 @@
     // During a shutdown, requests that have already arrived on the connection are still answered.
     boolean noRequestLeftInShutdown =
         frontend.isShuttingDown() && pipeline.isEmpty() && !decoder.hasPartialRequest();
-    return state != State.SERVING || !currentRequest.wantsKeepAlive() || noRequestLeftInShutdown;
-  }
-
-  private void onAllWritten() {
-    if (state != State.SERVING) {
-      state = State.LINGERING;
-      lingeringClose.begin();
-    }
+    return !responseWriter.isOpen() || !currentRequest.wantsKeepAlive() || noRequestLeftInShutdown;
   }
 
   /** Abandons the request in flight because its client has disconnected. */
