Read and answer no further request while a response has not left

What callers saw: three peers that sent GET /_health and never read the responses used up the heap with some 6 MB from each.

Cause: a request was answered although the responses before it had not been passed to the kernel. Each stayed in Netty's queue, its head in no budget, and the write timeout counted from the last response, so it never ended.

Change: the next request is processed once the response before it has been passed to the kernel; until then nothing more is read from the client. So a connection holds one unsent response, whose head is now counted, and the write timeout ends the connection. Error responses wait like any other.

--- a/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
@@ -64,7 +64,7 @@
     decoder = new ClientRequestDecoder(this::onFirstByte, assembler.headMemory(), arrivalTime);
     pipeline = new RequestPipeline(frontend.pipelineBudget());
     currentRequest = new CurrentRequest(frontend, dispatcher, this);
-    responseWriter = new ResponseWriter(channel, decoder, budgets.bodies());
+    responseWriter = new ResponseWriter(channel, decoder, budgets, this::processNext);
     timeouts = new ConnectionTimeouts(dispatcher.now());
   }
 
@@ -294,6 +294,7 @@
 
   private boolean hasNext() {
     return responseWriter.isOpen()
+        && !responseWriter.hasPendingWrites()
         && !currentRequest.isPresent()
         && (protocolViolation != null || !pipeline.isEmpty());
   }
@@ -328,7 +329,7 @@
     write(status, body.retain(), retryAfterMillis);
   }
 
-  /** Writes a response and processes the next request. Takes ownership of {@code body}. */
+  /** Writes a response, after which the next request is processed; takes ownership of the body. */
   private void write(HttpResponseStatus status, ByteBuf body, double retryAfterMillis) {
     if (isLastResponse()) {
       responseWriter.beginLastResponse();
@@ -337,9 +338,7 @@
     currentRequest.finish();
     timeouts.onResponse(dispatcher.now());
     responseWriter.write(status, body, retryAfterMillis);
-    if (responseWriter.isOpen()) {
-      processNext();
-    } else {
+    if (!responseWriter.isOpen()) {
       pipeline.clear();
     }
     // If now idle, this connection may be closed in favor of a client that waits to be accepted.
--- a/src/main/java/loadbalancer/proxy/frontend/ResponseWriter.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ResponseWriter.java
@@ -8,12 +8,14 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import loadbalancer.proxy.memory.MemoryBudget;
+import loadbalancer.proxy.memory.MemoryBudgets;
 import loadbalancer.proxy.protocol.ProtocolHeaders;
 
 /**
- * Writes responses to one client, counts those not yet passed to the kernel completely, and closes
- * the connection after the last one.
+ * Writes responses to one client, counts the one not yet passed to the kernel completely, and
+ * closes the connection after the last one. While a response is not passed to the kernel, nothing
+ * more is read from the client: one that doesn't read its responses could otherwise use up the
+ * memory.
  */
 final class ResponseWriter {
 
@@ -26,21 +28,32 @@
     LINGERING
   }
 
+  /** The heap that a response occupies without its body: its head and the objects of the write. */
+  private static final int HEAD_BYTES = 1_024;
+
   private final Channel channel;
-  private final MemoryBudget bodyBudget;
+  private final MemoryBudgets budgets;
+  private final Runnable onWritten;
   private final LingeringClose lingeringClose;
   private State state = State.OPEN;
   private int pendingWrites;
 
+  /** Whether reading from the client is paused until the response is written. */
+  private boolean readingPaused;
+
   /**
    * Creates a writer.
    *
    * @param decoder the decoder of the channel, which a lingering close removes
-   * @param bodyBudget counts the bodies that are not passed to the kernel completely
+   * @param budgets count the responses that are not passed to the kernel completely
+   * @param onWritten called when a response that is not the last one has been passed to the kernel,
+   *     or can't be; the next one may be written then
    */
-  ResponseWriter(Channel channel, ChannelHandler decoder, MemoryBudget bodyBudget) {
+  ResponseWriter(
+      Channel channel, ChannelHandler decoder, MemoryBudgets budgets, Runnable onWritten) {
     this.channel = channel;
-    this.bodyBudget = bodyBudget;
+    this.budgets = budgets;
+    this.onWritten = onWritten;
     lingeringClose = new LingeringClose(channel, decoder);
   }
 
@@ -81,7 +94,7 @@
   }
 
   /**
-   * Writes a final response.
+   * Writes a final response; there must be no pending one.
    *
    * @param body the callee takes ownership of one reference to it
    * @param retryAfterMillis the time to give in the Retry-After header; 0 for no header
@@ -99,14 +112,26 @@
       response.headers().set("Connection", "close");
     }
     pendingWrites++;
-    bodyBudget.reserve(bodyBytes);
+    budgets.heads().reserve(HEAD_BYTES);
+    budgets.bodies().reserve(bodyBytes);
     channel.writeAndFlush(response).addListener(written -> onWritten(bodyBytes));
+    if (hasPendingWrites()) {
+      readingPaused = true;
+      channel.config().setAutoRead(false);
+    }
   }
 
   private void onWritten(int bodyBytes) {
-    bodyBudget.release(bodyBytes);
+    budgets.heads().release(HEAD_BYTES);
+    budgets.bodies().release(bodyBytes);
     pendingWrites--;
-    if (pendingWrites == 0 && !isOpen()) {
+    if (readingPaused) {
+      readingPaused = false;
+      channel.config().setAutoRead(true);
+    }
+    if (isOpen()) {
+      onWritten.run();
+    } else {
       state = State.LINGERING;
       lingeringClose.begin();
     }
