--- a/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ClientConnection.java
@@ -64,7 +64,7 @@
     decoder = new ClientRequestDecoder(this::onFirstByte, assembler.headMemory(), arrivalTime);
     pipeline = new RequestPipeline(frontend.pipelineBudget());
     currentRequest = new CurrentRequest(frontend, dispatcher, this);
-    responseWriter = new ResponseWriter(channel, decoder, budgets, this::processNext);
+    responseWriter = new ResponseWriter(channel, decoder, budgets.bodies());
     timeouts = new ConnectionTimeouts(dispatcher.now());
   }
 
@@ -294,7 +294,6 @@
 
   private boolean hasNext() {
     return responseWriter.isOpen()
-        && !responseWriter.hasPendingWrites()
         && !currentRequest.isPresent()
         && (protocolViolation != null || !pipeline.isEmpty());
   }
@@ -329,7 +328,7 @@
     write(status, body.retain(), retryAfterMillis);
   }
 
-  /** Writes a response, after which the next request is processed; takes ownership of the body. */
+  /** Writes a response and processes the next request. Takes ownership of {@code body}. */
   private void write(HttpResponseStatus status, ByteBuf body, double retryAfterMillis) {
     if (isLastResponse()) {
       responseWriter.beginLastResponse();
@@ -338,7 +337,9 @@
     currentRequest.finish();
     timeouts.onResponse(dispatcher.now());
     responseWriter.write(status, body, retryAfterMillis);
-    if (!responseWriter.isOpen()) {
+    if (responseWriter.isOpen()) {
+      processNext();
+    } else {
       pipeline.clear();
     }
     // If now idle, this connection may be closed in favor of a client that waits to be accepted.
--- a/src/main/java/loadbalancer/proxy/frontend/ResponseWriter.java
+++ b/src/main/java/loadbalancer/proxy/frontend/ResponseWriter.java
@@ -8,14 +8,12 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import loadbalancer.proxy.memory.MemoryBudgets;
+import loadbalancer.proxy.memory.MemoryBudget;
 import loadbalancer.proxy.protocol.ProtocolHeaders;
 
 /**
- * Writes responses to one client, counts the one not yet passed to the kernel completely, and
- * closes the connection after the last one. While a response is not passed to the kernel, nothing
- * more is read from the client: one that doesn't read its responses could otherwise use up the
- * memory.
+ * Writes responses to one client, counts those not yet passed to the kernel completely, and closes
+ * the connection after the last one.
  */
 final class ResponseWriter {
 
@@ -28,32 +26,21 @@
     LINGERING
   }
 
-  /** The heap that a response occupies without its body: its head and the objects of the write. */
-  private static final int HEAD_BYTES = 1_024;
-
   private final Channel channel;
-  private final MemoryBudgets budgets;
-  private final Runnable onWritten;
+  private final MemoryBudget bodyBudget;
   private final LingeringClose lingeringClose;
   private State state = State.OPEN;
   private int pendingWrites;
 
-  /** Whether reading from the client is paused until the response is written. */
-  private boolean readingPaused;
-
   /**
    * Creates a writer.
    *
    * @param decoder the decoder of the channel, which a lingering close removes
-   * @param budgets count the responses that are not passed to the kernel completely
-   * @param onWritten called when a response that is not the last one has been passed to the kernel,
-   *     or can't be; the next one may be written then
+   * @param bodyBudget counts the bodies that are not passed to the kernel completely
    */
-  ResponseWriter(
-      Channel channel, ChannelHandler decoder, MemoryBudgets budgets, Runnable onWritten) {
+  ResponseWriter(Channel channel, ChannelHandler decoder, MemoryBudget bodyBudget) {
     this.channel = channel;
-    this.budgets = budgets;
-    this.onWritten = onWritten;
+    this.bodyBudget = bodyBudget;
     lingeringClose = new LingeringClose(channel, decoder);
   }
 
@@ -94,7 +81,7 @@
   }
 
   /**
-   * Writes a final response; there must be no pending one.
+   * Writes a final response.
    *
    * @param body the callee takes ownership of one reference to it
    * @param retryAfterMillis the time to give in the Retry-After header; 0 for no header
@@ -112,26 +99,14 @@
       response.headers().set("Connection", "close");
     }
     pendingWrites++;
-    budgets.heads().reserve(HEAD_BYTES);
-    budgets.bodies().reserve(bodyBytes);
+    bodyBudget.reserve(bodyBytes);
     channel.writeAndFlush(response).addListener(written -> onWritten(bodyBytes));
-    if (hasPendingWrites()) {
-      readingPaused = true;
-      channel.config().setAutoRead(false);
-    }
   }
 
   private void onWritten(int bodyBytes) {
-    budgets.heads().release(HEAD_BYTES);
-    budgets.bodies().release(bodyBytes);
+    bodyBudget.release(bodyBytes);
     pendingWrites--;
-    if (readingPaused) {
-      readingPaused = false;
-      channel.config().setAutoRead(true);
-    }
-    if (isOpen()) {
-      onWritten.run();
-    } else {
+    if (pendingWrites == 0 && !isOpen()) {
       state = State.LINGERING;
       lingeringClose.begin();
     }
--- a/src/test/java/loadbalancer/proxy/MemoryLimitTest.java
+++ b/src/test/java/loadbalancer/proxy/MemoryLimitTest.java
@@ -1,11 +1,9 @@
 package loadbalancer.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
@@ -36,14 +34,6 @@
   private static final int SMALL_PIECE_BYTES = 100;
 
   private static final int PIPELINING_CLIENTS = 64;
-  private static final int CLIENTS_THAT_READ_NOTHING = 3;
-  private static final int SMALL_RECEIVE_BUFFER_BYTES = 4_096;
-
-  /** The time in which a client fills the buffers of the kernel, and the time of a write. */
-  private static final int UNREAD_CLOSE_TIMEOUT_MILLIS = 60_000;
-
-  /** So few that the limit of pipelined requests isn't reached. */
-  private static final int REQUESTS_AT_ONCE = 5;
 
   /** As many as a client may send at once: one that is in flight and 15 that wait. */
   private static final int PIPELINED_REQUESTS = 16;
@@ -153,46 +143,6 @@
     }
   }
 
-  /** Guards against clients that send requests and never read the responses to them. */
-  @Test
-  void clientsThatReadNoResponseAreClosedAndOthersServed() throws Exception {
-    try (ProxyFixture fixture = new ProxyFixture();
-        ProxyProcess proxy = ProxyProcess.start(fixture, SMALL_HEAP)) {
-      proxy.connect().close();
-      List<Thread> badClients = new ArrayList<>();
-      for (int i = 0; i < CLIENTS_THAT_READ_NOTHING; i++) {
-        badClients.add(startDaemon(() -> writeUntilClosed(proxy)));
-      }
-      for (Thread badClient : badClients) {
-        badClient.join(UNREAD_CLOSE_TIMEOUT_MILLIS);
-        assertFalse(badClient.isAlive(), "the connection is still open");
-      }
-      assertTrue(proxy.process.isAlive());
-      assertForwarded(proxy, fixture.upstreams.get(0));
-    }
-  }
-
-  private static HttpPeer connectWithSmallReceiveBuffer(ProxyProcess proxy) throws IOException {
-    Socket socket = new Socket();
-    socket.setReceiveBufferSize(SMALL_RECEIVE_BUFFER_BYTES);
-    socket.connect(proxy.address);
-    return new HttpPeer(socket);
-  }
-
-  /** Sends requests, no faster than they are answered, until the proxy closes the connection. */
-  private static void writeUntilClosed(ProxyProcess proxy) {
-    try (HttpPeer client = connectWithSmallReceiveBuffer(proxy);
-        HttpPeer pacingClient = HttpPeer.connect(proxy.address)) {
-      while (true) {
-        client.write(HEALTH_CHECK.repeat(REQUESTS_AT_ONCE));
-        pacingClient.write(HEALTH_CHECK);
-        pacingClient.read();
-      }
-    } catch (IOException e) {
-      // The proxy has closed the connection.
-    }
-  }
-
   /**
    * Guards against responses in pieces, each of which kept its receive buffer, and against bodies
    * that use up the direct memory: the event loop then slept in the allocation for half a second at
@@ -255,11 +205,10 @@
     }
   }
 
-  private static Thread startDaemon(Runnable task) {
+  private static void startDaemon(Runnable task) {
     Thread thread = new Thread(task);
     thread.setDaemon(true);
     thread.start();
-    return thread;
   }
 
   /** Responds to one request on each connection until the process ends. */
