Share one exchange among the tests of how responses end

ResponseEndTest and ChunkSizeValidatorTest started proxies and peers of their own. Their cases are now rows of one exchange, respond(), in UpstreamResponseTest, and where a test already had the start (timeout, cancellation, health check, interim responses, the size limit of bodies), a row or a line of that test.

No case is lost, and some are stricter: every prefix of a framed response is ended by a FIN, a FIN and a reset, and a reset, read before the end and with it (16 prefixes before); all malformed chunk sizes are tried as the first and the last one, over real sockets, in pieces of 1, 7 and 1,000 bytes; the end of the event loop is forced for each head without a length.

--- a/src/main/java/loadbalancer/proxy/ProxyServer.java
+++ b/src/main/java/loadbalancer/proxy/ProxyServer.java
@@ -303,7 +303,7 @@
   }
 
   /** For tests: stops the event loop after an iteration in which it closes all channels. */
-  void closeChannelsAndStop() {
+  public void closeChannelsAndStop() {
     stopLoop(STOP_QUIET_PERIOD_MILLIS);
   }
 
--- a/src/test/java/loadbalancer/proxy/ProxyFixture.java
+++ b/src/test/java/loadbalancer/proxy/ProxyFixture.java
@@ -1,7 +1,6 @@
 package loadbalancer.proxy;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -202,32 +201,6 @@
     }
   }
 
-  /** An action on the sockets of a test. */
-  public interface SocketAction {
-    void run() throws IOException;
-  }
-
-  /**
-   * Runs an action on the event loop. The load balancer reads nothing meanwhile, so it then finds
-   * all that the action has sent at once, up to the end of the connection.
-   */
-  public void runOnLoop(SocketAction action) throws InterruptedException {
-    server.onLoop(
-        (frontend, upstreamClient) -> {
-          try {
-            action.run();
-          } catch (IOException e) {
-            throw new UncheckedIOException(e);
-          }
-          return null;
-        });
-  }
-
-  /** Stops the load balancer's event loop, which closes all channels, with requests in flight. */
-  public void closeChannelsAndStop() {
-    server.closeChannelsAndStop();
-  }
-
   @Override
   public void close() throws IOException {
     for (HttpPeer client : clients) {
--- a/src/test/java/loadbalancer/proxy/discovery/DiscoveryClientTest.java
+++ b/src/test/java/loadbalancer/proxy/discovery/DiscoveryClientTest.java
@@ -354,23 +354,16 @@
 
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
-    void listWithoutLengthIsAppliedOnlyIfAFinEndsIt(boolean abruptly) throws Exception {
+    void onlyFinEndsListWithoutLength(boolean reset) throws Exception {
       try (fixture) {
         startProxy();
         HttpPeer watch = fixture.discovery.accept();
         watch.read();
-        fixture.runOnLoop(
-            () -> {
-              watch.write("HTTP/1.1 200 OK\r\n\r\n" + ProxyFixture.endpointList(42, false));
-              if (abruptly) {
-                watch.reset();
-              } else {
-                watch.close();
-              }
-            });
-        assertEquals(
-            abruptly ? EndpointUpdateType.FAILED : EndpointUpdateType.DELTA,
-            ScriptedPolicy.takeNext(fixture.policy.updates));
+        watch.socket.setSoLinger(reset, 0);
+        watch.write("HTTP/1.1 200 OK\r\n\r\n" + ProxyFixture.endpointList(42, false));
+        watch.close();
+        var expected = reset ? EndpointUpdateType.FAILED : EndpointUpdateType.DELTA;
+        assertEquals(expected, ScriptedPolicy.takeNext(fixture.policy.updates));
       }
     }
 
--- a/src/test/java/loadbalancer/proxy/upstream/UpstreamClientTest.java
+++ b/src/test/java/loadbalancer/proxy/upstream/UpstreamClientTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests how requests are forwarded, and which outcome an attempt has. */
 @Timeout(60)
@@ -118,14 +119,16 @@
     }
   }
 
-  @Test
-  void missingResponseTimesOutAndClosesTheConnection() throws Exception {
+  @ParameterizedTest
+  @ValueSource(strings = {"", "HTTP/1.1 200 OK\r\n\r\nwithout a length"})
+  void incompleteResponseTimesOutAndClosesTheConnection(String response) throws Exception {
     try (ProxyFixture proxy = new ProxyFixture().start()) {
       proxy.policy.onRequest = request -> proxy.policy.sendTo(0, request, 100);
       HttpPeer client = proxy.connectClient();
       client.write(ProxyFixture.atMostOnceRequest("1", "x"));
       HttpPeer upstream = proxy.upstreams.get(0).accept();
       assertNotNull(upstream.read());
+      upstream.write(response);
       assertTrue(upstream.isClosedByPeer());
       assertEquals(AttemptOutcome.TIMEOUT, proxy.policy.nextOutcome());
       assertEquals(502, client.read().status());
@@ -145,6 +148,8 @@
       client.write(ProxyFixture.idempotentRequest("1", "10"));
       HttpPeer slowUpstream = proxy.upstreams.get(0).accept();
       slowUpstream.read();
+      slowUpstream.write("HTTP/1.1 200 OK\r\n\r\nwithout a length");
+      awaitInputRead(proxy);
       HttpPeer fastUpstream = proxy.upstreams.get(1).accept();
       fastUpstream.read();
       proxy.policy.onResult = outcome -> proxy.policy.actions.cancelAttempt(outcome.requestId(), 0);
@@ -214,8 +219,9 @@
     }
   }
 
-  @Test
-  void healthCheckReturnsTheLoadReport() throws Exception {
+  @ParameterizedTest
+  @ValueSource(strings = {"Content-Length: 36\r\n", ""})
+  void healthCheckReturnsTheLoadReport(String length) throws Exception {
     try (ProxyFixture proxy = new ProxyFixture().start()) {
       proxy.policy.onRequest =
           request -> {
@@ -227,7 +233,8 @@
       assertEquals(503, client.read().status());
       HttpPeer upstream = proxy.upstreams.get(0).accept();
       assertEquals("GET /_load HTTP/1.1", upstream.read().startLine());
-      upstream.write(ProxyFixture.okResponse("TEXT queue=2, eps=0.5, latency_ms=61"));
+      upstream.write("HTTP/1.1 200 OK\r\n" + length + "\r\nTEXT queue=2, eps=0.5, latency_ms=61");
+      upstream.close();
       assertEquals("OK [2.0, 0.5, 61.0]", ScriptedPolicy.takeNext(proxy.policy.healthChecks));
     }
   }
--- a/src/test/java/loadbalancer/proxy/upstream/UpstreamResponseTest.java
+++ b/src/test/java/loadbalancer/proxy/upstream/UpstreamResponseTest.java
@@ -2,6 +2,7 @@
 
 import static loadbalancer.proxy.upstream.UpstreamTestSupport.awaitInputRead;
 import static loadbalancer.proxy.upstream.UpstreamTestSupport.useOptions;
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -21,32 +22,121 @@
 @Timeout(60)
 class UpstreamResponseTest {
 
+  private static final String[] CONNECTION_ENDS = {"FIN", "FIN RST", "RST"};
+
+  /**
+   * Responds to a request (a bar is a CR LF) and ends the connection; returns the outcome and the
+   * client's response. Whole pieces are read one by one; the rest is read together with the end.
+   */
+  private static String respond(ProxyFixture proxy, String response, int pieceBytes, String end)
+      throws Exception {
+    try (HttpPeer client = HttpPeer.connect(proxy.server.address())) {
+      client.write(ProxyFixture.atMostOnceRequest("1", "x"));
+      HttpPeer upstream = proxy.upstreams.get(0).accept();
+      upstream.read();
+      String sent = response.replace("|", "\r\n");
+      int read = 0;
+      while (read + pieceBytes <= sent.length() && proxy.policy.results.isEmpty()) {
+        upstream.write(sent.substring(read, read + pieceBytes));
+        read += pieceBytes;
+        awaitInputRead(proxy);
+      }
+      String rest = proxy.policy.results.isEmpty() ? sent.substring(read) : "";
+      // While the loop is held, the proxy reads nothing.
+      proxy.server.onLoop(
+          (frontend, upstreams) -> assertDoesNotThrow(() -> end(upstream, rest, end)));
+      HttpPeer.Message answer = client.read();
+      assertTrue(!end.equals("FIN") || upstream.socket.getInputStream().read() < 0);
+      return proxy.policy.nextOutcome() + " " + answer.status() + " " + answer.body();
+    }
+  }
+
+  private static boolean end(HttpPeer upstream, String rest, String end) throws IOException {
+    upstream.write(rest);
+    if (end.contains("FIN")) {
+      upstream.socket.shutdownOutput();
+    }
+    if (end.contains("RST")) {
+      upstream.reset();
+    }
+    return true;
+  }
+
+  /** Guards against whole responses that are taken for lost ones, and the other way round. */
+  @ParameterizedTest
+  @CsvSource({
+    "HTTP/1.1 200 OK,OK 200 body",
+    "HTTP/1.1 200 OK|Connection: close,OK 200 body",
+    "HTTP/1.1 200 OK|Connection: keep-alive,OK 200 body",
+    "HTTP/1.0 200 OK|X: y,OK 200 body",
+    "HTTP/1.1 100 Continue||HTTP/1.1 200 OK,OK 200 body",
+    "HTTP/1.1 503 No|X-Turned-Away: 1,'REJECTED 502 '",
+    "HTTP/1.1 503 No,'ERROR 502 '",
+    "HTTP/1.1 500 No,'ERROR 502 '",
+    "HTTP/1.1 200 OK|Transfer-Encoding: gzip,'ERROR 502 '",
+    "HTTP/1.1 200 OK|Transfer-Encoding: identity,'ERROR 502 '"
+  })
+  void onlyFinEndsResponseWithoutLength(String head, String whole) throws Exception {
+    try (ProxyFixture proxy = new ProxyFixture().start()) {
+      for (String end : CONNECTION_ENDS) {
+        String expected = end.equals("RST") ? "RESET 502 " : whole;
+        for (int pieceBytes : new int[] {1, 9, 1_000}) {
+          assertEquals(expected, respond(proxy, head + "||body", pieceBytes, end));
+          String expectedEmpty = expected.replace("body", "");
+          assertEquals(expectedEmpty, respond(proxy, head + "||", pieceBytes, end));
+        }
+      }
+      proxy.connectClient().write(ProxyFixture.atMostOnceRequest("1", "x"));
+      HttpPeer upstream = proxy.upstreams.get(0).accept();
+      upstream.read();
+      upstream.write((head + "||body").replace("|", "\r\n"));
+      awaitInputRead(proxy);
+      proxy.server.closeChannelsAndStop();
+      assertTrue(upstream.isClosedByPeer());
+      assertTrue(proxy.policy.results.stream().allMatch(r -> r.outcome() == AttemptOutcome.RESET));
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(
       strings = {
-        "",
-        "HTTP/1.1 200 OK\r\nContent-Le",
-        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"
+        "Connection: close|Content-Length: 26|||zzabcdefghijklmnopqrstuv",
+        "Transfer-Encoding: chunked||1A||zzabcdefghijklmnopqrstuv|0||",
+        "Transfer-Encoding: chunked||2 ;n|||00000018;x|zzabcdefghijklmnopqrstuv|00 |X: 80000000||"
       })
-  void endOfTheConnectionInAResponseIsReset(String incompleteResponse) throws Exception {
-    for (boolean abruptly : new boolean[] {false, true}) {
-      try (ProxyFixture proxy = new ProxyFixture().start()) {
-        HttpPeer client = proxy.connectClient();
-        client.write(ProxyFixture.atMostOnceRequest("1", "x"));
-        HttpPeer upstream = proxy.upstreams.get(0).accept();
-        upstream.read();
-        upstream.write(incompleteResponse);
-        if (abruptly) {
-          upstream.reset();
-        } else {
-          upstream.close();
+  void endOfTheConnectionInAResponseIsReset(String fieldsAndBody) throws Exception {
+    String whole = "HTTP/1.1 100 Continue||HTTP/1.1 200 OK|" + fieldsAndBody;
+    String sent = whole.replace("|", "\r\n");
+    try (ProxyFixture proxy = new ProxyFixture().start()) {
+      for (String end : CONNECTION_ENDS) {
+        for (int i = 0; i < sent.length(); i++) {
+          assertEquals("RESET 502 ", respond(proxy, sent.substring(0, i), Math.max(1, i), end));
+          assertEquals("RESET 502 ", respond(proxy, sent.substring(0, i), 1_000, end));
         }
-        assertEquals(AttemptOutcome.RESET, proxy.policy.nextOutcome());
-        HttpPeer.Message response = client.read();
-        assertEquals(502, response.status());
-        assertEquals("", response.body());
+        for (int pieceBytes : new int[] {3, 7, 1_000}) {
+          assertEquals(
+              "OK 200 \r\nzzabcdefghijklmnopqrstuv", respond(proxy, sent, pieceBytes, end));
+        }
+      }
+    }
+  }
+
+  /** Guards against malformed chunks that Netty's decoder takes for others, or for the last one. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 7, 1_000})
+  void malformedChunksAreErrors(int pieceBytes) throws Exception {
+    String sizes =
+        ",zz,-4,+4,0x4,4 4, 4,0 1,80000000,ffffffff,100000000,100000004,10000000000000000";
+    String chunks = "4|fourXX0||,4|four0||,4|fourfive|0||,4|four||0||,4\nfour\n0\n\n";
+    for (String size : sizes.split(",")) {
+      chunks += "," + size + "|four|0||,4|four|" + size + "||";
+    }
+    try (ProxyFixture proxy = new ProxyFixture().start()) {
+      for (String malformed : chunks.split(",")) {
+        String response = "HTTP/1.1 200 OK|Transfer-Encoding: chunked||" + malformed;
+        assertEquals("ERROR 502 ", respond(proxy, response, pieceBytes, "FIN"));
       }
+      proxy.assertStillServes();
     }
   }
 
@@ -110,6 +200,7 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\nContent-Length: 2\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip\r\n\r\n2\r\nab\r\n0\r\n\r\n",
         // Stalled: the rest is never sent.
         "HTTP/1.1 200 OK\r\nContent-Le",
         "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
@@ -163,8 +254,13 @@
       upstream.write(
           "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1");
       awaitInputRead(proxy);
-      upstream.write(ProxyFixture.okResponse("served").substring(6));
+      String chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+      upstream.write(chunked.substring(6) + "6\r\nserved\r\n0\r\n\r\n");
       assertEquals("served", client.read().body());
+      client.write(ProxyFixture.idempotentRequest("2", "10"));
+      upstream.read();
+      upstream.write(chunked + "100000000\r\n\r\n");
+      assertEquals(502, client.read().status());
     }
   }
 
@@ -224,17 +320,19 @@
   void responseBodyAboveTheLimitIsAnError() throws Exception {
     try (ProxyFixture proxy = new ProxyFixture().start()) {
       HttpPeer client = proxy.connectClient();
-      for (int excessBytes = 0; excessBytes < 2; excessBytes++) {
+      for (int i = 0; i < 4; i++) {
+        int excessBytes = i % 2;
         client.write(ProxyFixture.idempotentRequest("1", "10"));
         HttpPeer upstream = proxy.upstreams.get(0).accept();
         upstream.read();
         String body = "b".repeat(ProtocolHeaders.MAX_BODY_BYTES + excessBytes);
         try {
           upstream.write(
-              "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: "
-                  + body.length()
-                  + "\r\n\r\n"
+              "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                  + (i < 2 ? "Content-Length: " + body.length() + "\r\n" : "")
+                  + "\r\n"
                   + body);
+          upstream.close();
         } catch (IOException e) {
           assertEquals(
               1,
